--- /dev/null
+++ b/cmd/yuccahaven/main.go
@@ -0,0 +1,4 @@
+// Command yuccahaven is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/yuccalab/main.go
@@ -0,0 +1,4 @@
+// Command yuccalab is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/doc.go
@@ -0,0 +1,2 @@
+// Package yuccahaven is the client library of yuccahaven, a fleet capacity and maintenance manager.
+package yuccahaven
--- /dev/null
+++ b/internal/model/fleet/view.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Item is one changed key of the view; an absent Value means that the key was removed.
+type Item struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+}
+
+// Delta is what one revision of the view changed.
+type Delta struct {
+	Revision uint64 `json:"revision"`
+	Author   string `json:"author,omitempty"`
+	// WriteID is unique per attempted write; it settles writes whose reply was lost.
+	WriteID string `json:"write,omitempty"`
+	Items   []Item `json:"items"`
+}
+
+// Section is one document section as operators wrote it.
+type Section struct {
+	Name string `json:"name"`
+	// Version is the revision of the view that last changed the section.
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+// ZoneStatus is an availability zone's state with the revision that set it.
+type ZoneStatus struct {
+	State ZoneState `json:"state"`
+	// Generation is the revision of the view at which State last changed.
+	Generation uint64 `json:"generation"`
+}
+
+// Member is a registered entry instance.
+type Member struct {
+	ID EntryID `json:"id"`
+	// Address is the host and port of the inner protocol; Caller that of the HTTP interface.
+	Address string           `json:"address"`
+	Caller  string           `json:"caller"`
+	Zone    AvailabilityZone `json:"zone"`
+}
+
+// InstanceState says what is planned for an instance of a pool.
+type InstanceState string
+
+// The planned states of an instance.
+const (
+	InstanceActive    InstanceState = "active"
+	InstanceDraining  InstanceState = "draining"
+	InstanceRebooting InstanceState = "rebooting"
+)
+
+// PoolMember is one instance's membership of a pool.
+type PoolMember struct {
+	ID      InstanceID       `json:"id"`
+	Address string           `json:"address"`
+	Zone    AvailabilityZone `json:"zone"`
+	Rack    string           `json:"rack"`
+	Slots   int              `json:"slots"`
+	State   InstanceState    `json:"state"`
+	// Target is the pool an instance moves to once drained and rebooted; empty if it stays.
+	Target PoolName `json:"target,omitempty"`
+	// Version is the system version the instance last reported.
+	Version string `json:"version,omitempty"`
+}
+
+// View is an immutable snapshot of the document, the entry instances and the pools' members at one revision.
+type View struct {
+	revision uint64
+	document Document
+	sections map[string]Section
+	zones    map[AvailabilityZone]ZoneStatus
+	members  map[EntryID]Member
+	pools    map[PoolName]map[InstanceID]PoolMember
+}
+
+// Revision returns the view's revision; 0 is the empty view.
+func (v View) Revision() uint64 { return v.revision }
+
+// Document returns the decoded document; callers must not change it.
+func (v View) Document() Document { return v.document }
+
+// Section returns a section by name.
+func (v View) Section(name string) (Section, bool) {
+	s, ok := v.sections[name]
+	return s, ok
+}
+
+// Sections returns every section sorted by name.
+func (v View) Sections() []Section {
+	return slices.SortedFunc(maps.Values(v.sections), func(a, b Section) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Zone returns the status of an availability zone; a zone without a section is in service with generation 0.
+func (v View) Zone(z AvailabilityZone) ZoneStatus {
+	if s, ok := v.zones[z]; ok {
+		return s
+	}
+	return ZoneStatus{State: ZoneIn}
+}
+
+// Member returns a registered entry instance.
+func (v View) Member(id EntryID) (Member, bool) {
+	m, ok := v.members[id]
+	return m, ok
+}
+
+// Members returns every registered entry instance sorted by identifier.
+func (v View) Members() []Member {
+	return slices.SortedFunc(maps.Values(v.members), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Pool returns the members of a pool sorted by identifier.
+func (v View) Pool(p PoolName) []PoolMember {
+	return slices.SortedFunc(maps.Values(v.pools[p]), func(a, b PoolMember) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// PoolNames returns the names of every pool that has members or a section, sorted.
+func (v View) PoolNames() []PoolName {
+	names := map[PoolName]bool{}
+	for p := range v.pools {
+		names[p] = true
+	}
+	for p := range v.document.Pools {
+		names[p] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// PoolMember returns one instance of a pool.
+func (v View) PoolMember(p PoolName, id InstanceID) (PoolMember, bool) {
+	m, ok := v.pools[p][id]
+	return m, ok
+}
+
+// PoolOf returns the pool an instance belongs to.
+func (v View) PoolOf(id InstanceID) (PoolName, bool) {
+	for p, members := range v.pools {
+		if _, ok := members[id]; ok {
+			return p, true
+		}
+	}
+	return "", false
+}
+
+// Startable reports whether new tasks may start on an instance of a pool under this view.
+func (v View) Startable(p PoolName, id InstanceID) bool {
+	m, ok := v.pools[p][id]
+	return ok && m.State == InstanceActive && v.Zone(m.Zone).State == ZoneIn
+}
+
+// WithRevision returns the view at another revision.
+func (v View) WithRevision(r uint64) View {
+	v.revision = r
+	return v
+}
+
+// WithDocument returns the view with another decoded document.
+func (v View) WithDocument(d Document) View {
+	v.document = d
+	return v
+}
+
+// WithSection returns the view with a section added or replaced.
+func (v View) WithSection(s Section) View {
+	v.sections = with(v.sections, s.Name, s)
+	return v
+}
+
+// WithoutSection returns the view without a section.
+func (v View) WithoutSection(name string) View {
+	v.sections = without(v.sections, name)
+	return v
+}
+
+// WithZone returns the view with an availability zone's status set.
+func (v View) WithZone(z AvailabilityZone, s ZoneStatus) View {
+	v.zones = with(v.zones, z, s)
+	return v
+}
+
+// WithMember returns the view with an entry instance registered.
+func (v View) WithMember(m Member) View {
+	v.members = with(v.members, m.ID, m)
+	return v
+}
+
+// WithoutMember returns the view without an entry instance.
+func (v View) WithoutMember(id EntryID) View {
+	v.members = without(v.members, id)
+	return v
+}
+
+// WithPool returns the view with the whole membership of a pool replaced.
+func (v View) WithPool(p PoolName, members []PoolMember) View {
+	byID := make(map[InstanceID]PoolMember, len(members))
+	for _, m := range members {
+		byID[m.ID] = m
+	}
+	v.pools = with(v.pools, p, byID)
+	return v
+}
+
+func with[K comparable, V any](m map[K]V, k K, val V) map[K]V {
+	c := make(map[K]V, len(m)+1)
+	maps.Copy(c, m)
+	c[k] = val
+	return c
+}
+
+func without[K comparable, V any](m map[K]V, k K) map[K]V {
+	c := maps.Clone(m)
+	delete(c, k)
+	return c
+}
--- /dev/null
+++ b/internal/model/reject/reject.go
@@ -0,0 +1,115 @@
+// Package reject defines the typed refusals that callers and operators receive.
+package reject
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Work says what is known about the work of a refused request.
+type Work string
+
+// What is known about the work of a refused request.
+const (
+	WorkNotRun  Work = "not-run"
+	WorkRun     Work = "run"
+	WorkUnknown Work = "unknown"
+)
+
+// Kind names the reason of a refusal; it is the last part of the problem document's type.
+type Kind string
+
+// The reasons of refusals.
+const (
+	KindKey         Kind = "key"         // missing, wrong or withdrawn key
+	KindForbidden   Kind = "forbidden"   // the key does not permit this
+	KindQueue       Kind = "queue"       // unknown queue
+	KindTask        Kind = "task"        // unknown task
+	KindRequest     Kind = "request"     // malformed request
+	KindBody        Kind = "body"        // body over the limit
+	KindImpossible  Kind = "impossible"  // no worker of the pool can ever run the job
+	KindFull        Kind = "full"        // the queue is full
+	KindDeadline    Kind = "deadline"    // the deadline can't be met or has passed
+	KindCancelled   Kind = "cancelled"   // the caller cancelled the task
+	KindStale       Kind = "stale"       // the instance can't prove that its view is current
+	KindStore       Kind = "store"       // the store is unavailable
+	KindStopping    Kind = "stopping"    // the instance is shutting down
+	KindFailed      Kind = "failed"      // the task ran and failed
+	KindLost        Kind = "lost"        // contact with the worker was lost
+	KindConflict    Kind = "conflict"    // the section was changed meanwhile
+	KindFindings    Kind = "findings"    // the edit has findings
+	KindBudget      Kind = "budget"      // a pool's availability budget would not hold
+	KindUnconfirmed Kind = "unconfirmed" // stored but not yet confirmed in force
+	KindInternal    Kind = "internal"    // a fault of this program
+)
+
+// Error is a refusal with everything a caller needs to act on it.
+type Error struct {
+	Kind   Kind
+	Work   Work
+	Detail string
+	// RetryAfter is when coming back may help; 0 means that it does not.
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// New returns a refusal with a formatted detail.
+func New(k Kind, w Work, format string, args ...any) *Error {
+	return &Error{Kind: k, Work: w, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the kind and detail.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %s (work %s): %v", e.Kind, e.Detail, e.Work, e.Cause)
+	}
+	return fmt.Sprintf("%s: %s (work %s)", e.Kind, e.Detail, e.Work)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// WithCause returns a copy that wraps a cause; the cause is logged, never sent.
+func (e *Error) WithCause(err error) *Error {
+	c := *e
+	c.Cause = err
+	return &c
+}
+
+// Status returns the HTTP status of the refusal.
+func (e *Error) Status() int {
+	if s, ok := statuses[e.Kind]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+var statuses = map[Kind]int{
+	KindKey:         http.StatusUnauthorized,
+	KindForbidden:   http.StatusForbidden,
+	KindQueue:       http.StatusNotFound,
+	KindTask:        http.StatusNotFound,
+	KindRequest:     http.StatusBadRequest,
+	KindBody:        http.StatusRequestEntityTooLarge,
+	KindImpossible:  http.StatusUnprocessableEntity,
+	KindFull:        http.StatusTooManyRequests,
+	KindDeadline:    http.StatusGatewayTimeout,
+	KindCancelled:   http.StatusConflict,
+	KindStale:       http.StatusServiceUnavailable,
+	KindStore:       http.StatusServiceUnavailable,
+	KindStopping:    http.StatusServiceUnavailable,
+	KindFailed:      http.StatusBadGateway,
+	KindLost:        http.StatusBadGateway,
+	KindConflict:    http.StatusConflict,
+	KindFindings:    http.StatusUnprocessableEntity,
+	KindBudget:      http.StatusConflict,
+	KindUnconfirmed: http.StatusGatewayTimeout,
+}
--- /dev/null
+++ b/internal/model/spec/spec.go
@@ -0,0 +1,2 @@
+// Package spec decodes and checks the sections of the document.
+package spec
--- /dev/null
+++ b/internal/plat/worker/worker.go
@@ -0,0 +1,95 @@
+// Package worker is the adapter to the platform's workers.
+package worker
+
+import (
+	"errors"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+// Errors of workers. ErrSilent leaves open whether the request took effect; the others mean that it did not.
+var (
+	ErrBusy    = errors.New("worker: no free slot")
+	ErrLeaving = errors.New("worker: leaving")
+	ErrLapsed  = errors.New("worker: reservation lapsed")
+	ErrFenced  = errors.New("worker: task is fenced")
+	ErrUnknown = errors.New("worker: unknown task")
+	ErrRefused = errors.New("worker: connection refused")
+	ErrSilent  = errors.New("worker: no reply")
+	ErrDamaged = errors.New("worker: answer is damaged")
+)
+
+// Reservation asks for slots for one task; it lapses after TTL by the worker's own clock.
+type Reservation struct {
+	Task  fleet.TaskID    `json:"task"`
+	Team  fleet.TeamName  `json:"team"`
+	Queue fleet.QueueName `json:"queue"`
+	Pool  fleet.PoolName  `json:"pool"`
+	Slots int             `json:"slots"`
+	TTL   time.Duration   `json:"ttl"`
+}
+
+// Start turns a reservation into a running task.
+type Start struct {
+	Task fleet.TaskID `json:"task"`
+	// Lease is how long the task may run without a renewal, by the worker's own clock.
+	Lease time.Duration `json:"lease"`
+	// Once marks a non-idempotent task.
+	Once bool `json:"once"`
+	// Key is the caller's idempotency key, "" without one; it stands in the worker's journal.
+	Key string `json:"key,omitempty"`
+	// Checkpoint is what an earlier run of the same task left, if any.
+	Checkpoint []byte `json:"checkpoint,omitempty"`
+	Input      []byte `json:"input"`
+}
+
+// TaskState is the state of a task at its worker.
+type TaskState string
+
+// The states of a task at its worker.
+const (
+	Reserved TaskState = "reserved"
+	Running  TaskState = "running"
+	Done     TaskState = "done"
+	Failed   TaskState = "failed"
+	// Stopped tasks were stopped on request or ran out their lease; Fenced ones never ran and never will.
+	Stopped TaskState = "stopped"
+	Fenced  TaskState = "fenced"
+)
+
+// Ended reports whether the task holds no slot any more.
+func (s TaskState) Ended() bool { return s != Reserved && s != Running }
+
+// Status is what a worker says of one task.
+type Status struct {
+	Task  fleet.TaskID  `json:"task"`
+	State TaskState     `json:"state"`
+	Ran   time.Duration `json:"ran"`
+	// Length and Digest (hexadecimal SHA-256) describe the whole answer of a done task.
+	Length int64  `json:"length"`
+	Digest string `json:"digest,omitempty"`
+	// Error is the task's own error text if it failed.
+	Error      string `json:"error,omitempty"`
+	Checkpoint []byte `json:"checkpoint,omitempty"`
+}
+
+// Report is a worker's own status.
+type Report struct {
+	Instance    fleet.InstanceID `json:"instance"`
+	Slots       int              `json:"slots"`
+	Used        int              `json:"used"`
+	Connections int              `json:"connections"`
+	Leaving     bool             `json:"leaving"`
+	Version     string           `json:"version"`
+	// Boot changes with every reboot.
+	Boot  string          `json:"boot"`
+	Tasks []StatusOfOwner `json:"tasks"`
+}
+
+// StatusOfOwner is a task in a worker's report with the team it runs for.
+type StatusOfOwner struct {
+	Task  fleet.TaskID   `json:"task"`
+	Team  fleet.TeamName `json:"team"`
+	State TaskState      `json:"state"`
+}
--- /dev/null
+++ b/internal/wire/peer/peer_test.go
@@ -0,0 +1,58 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+func serve(t *testing.T, token string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := peer.NewServer(token)
+	peer.Handle(s, peer.MethodSync, func(_ context.Context, q peer.SyncRequest) (peer.SyncReply, error) {
+		return peer.SyncReply{From: "b.1", Revision: q.Revision + 1}, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx, l) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l.Addr().String()
+}
+
+// Guards against a reply that does not belong to its request and against peers without the token.
+func TestCall(t *testing.T) {
+	address := serve(t, "secret")
+	for _, c := range []struct {
+		name, token string
+		from        string
+		ok          bool
+	}{
+		{"right token", "secret", "a.1", true},
+		{"wrong token", "other", "a.1", false},
+		{"request fails its check", "secret", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := peer.NewClient(c.token)
+			defer func() { _ = client.Close() }()
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			a, err := peer.Call(ctx, client, address, peer.MethodSync, peer.SyncRequest{From: "a.1", Revision: 6})
+			if c.from == "" {
+				_, err = peer.Call(ctx, client, address, peer.MethodSync, peer.SyncRequest{Revision: 6})
+			}
+			if (err == nil) != c.ok {
+				t.Fatalf("error %v, want ok %v", err, c.ok)
+			}
+			if c.ok && a.Revision != 7 {
+				t.Fatalf("revision %d, want 7", a.Revision)
+			}
+		})
+	}
+}
