client: Add the client library for callers

Callers need a client that verifies answers and repeats requests only where that can't run a non-idempotent job twice. A refusal is sent again if it is a passing one and its work was not run, or if the job is idempotent or has a key. Generating keys for jobs without one was ruled out: it would make every such job need the store.

--- /dev/null
+++ b/client.go
@@ -0,0 +1,147 @@
+package yuccahaven
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	defaultTries = 4
+	firstPause   = 100 * time.Millisecond
+	maxPause     = 10 * time.Second
+	maxAnswer    = 64 << 20
+)
+
+// Client submits jobs to the entry instances of one deployment. It is safe for concurrent use.
+type Client struct {
+	bases []string
+	next  atomic.Uint64
+	http  *http.Client
+	key   string
+	tries int
+	pause time.Duration
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithKey sets the key that accompanies every request, as "yh_<id>_<secret>".
+func WithKey(key string) Option { return func(c *Client) { c.key = key } }
+
+// WithHTTPClient replaces the HTTP client, for TLS settings and proxies.
+func WithHTTPClient(h *http.Client) Option { return func(c *Client) { c.http = h } }
+
+// WithTries sets how often a request is sent at most; the default is 4.
+func WithTries(n int) Option { return func(c *Client) { c.tries = max(1, n) } }
+
+// WithPause sets the pause before the first retry, which doubles with each further one; the default is 100 ms.
+func WithPause(d time.Duration) Option { return func(c *Client) { c.pause = d } }
+
+// ErrEndpoint is returned for an endpoint that is not an HTTP URL.
+var ErrEndpoint = errors.New("yuccahaven: bad endpoint")
+
+// NewClient returns a client of the entry instances at the endpoints, such as "https://jobs.example:8443". A retry
+// goes to the next endpoint.
+func NewClient(endpoints []string, options ...Option) (*Client, error) {
+	c := &Client{http: &http.Client{}, tries: defaultTries, pause: firstPause}
+	for _, e := range endpoints {
+		u, err := url.Parse(e)
+		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return nil, fmt.Errorf("%w: %q", ErrEndpoint, e)
+		}
+		c.bases = append(c.bases, strings.TrimSuffix(e, "/"))
+	}
+	if len(c.bases) == 0 {
+		return nil, fmt.Errorf("%w: none given", ErrEndpoint)
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c, nil
+}
+
+// Submit runs a job and returns its complete, verified result. The error is an *Error if the request was refused.
+func (c *Client) Submit(ctx context.Context, j Job) (Result, error) {
+	var r Result
+	err := c.retry(ctx, j.isRepeatable(), func(base string) error {
+		a, err := c.send(ctx, http.MethodPost, base+j.path(), j.header(false), j.Input)
+		if err != nil {
+			return err
+		}
+		r, err = a.result()
+		return err
+	})
+	return r, err
+}
+
+// SubmitAsync hands a job over and returns the id of its task once it is recorded.
+func (c *Client) SubmitAsync(ctx context.Context, j Job) (string, error) {
+	var id string
+	err := c.retry(ctx, j.Key != "", func(base string) error {
+		a, err := c.send(ctx, http.MethodPost, base+j.path(), j.header(true), j.Input)
+		if err != nil {
+			return err
+		}
+		if a.status != http.StatusAccepted {
+			return fmt.Errorf("%w: status %d instead of 202", ErrAnswer, a.status)
+		}
+		id = a.header.Get("Task-Id")
+		return nil
+	})
+	return id, err
+}
+
+// Poll asks for a task and waits up to the given time, in whole seconds, for its end. A refused task returns its
+// *Error.
+func (c *Client) Poll(ctx context.Context, id string, wait time.Duration) (Status, error) {
+	var s Status
+	header := http.Header{}
+	if n := int(wait / time.Second); n > 0 {
+		header.Set("Prefer", fmt.Sprintf("wait=%d", n))
+	}
+	err := c.retry(ctx, true, func(base string) error {
+		a, err := c.send(ctx, http.MethodGet, base+"/v1/tasks/"+url.PathEscape(id), header, nil)
+		if err != nil {
+			return err
+		}
+		s, err = a.taskStatus(id)
+		return err
+	})
+	return s, err
+}
+
+// Cancel gives up on a task.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	return c.retry(ctx, true, func(base string) error {
+		_, err := c.send(ctx, http.MethodDelete, base+"/v1/tasks/"+url.PathEscape(id), nil, nil)
+		return err
+	})
+}
+
+// retry calls f for one endpoint after another while the error allows another try.
+func (c *Client) retry(ctx context.Context, repeatable bool, f func(base string) error) error {
+	pause := c.pause
+	for try := 1; ; try++ {
+		err := f(c.bases[c.next.Add(1)%uint64(len(c.bases))])
+		if err == nil || try >= c.tries || !mayRetry(err, repeatable) {
+			return err
+		}
+		wait := max(retryAfter(err), pause/2+rand.N(pause/2+1))
+		if wait > maxPause {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		case <-time.After(wait):
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
