sched: Add slot allocation, sharing, placement and admission

Demand gets an optional list of task sizes, because a count of waiting slots does not say how many slots one worker must have free. Without the list a permit has the largest declared size of the team's queues.

Slots for an entry that is not polling are promised and collected with its next poll, so that sharing applies per fleet.

--- /dev/null
+++ b/internal/sched/alloc/coordinator_test.go
@@ -0,0 +1,277 @@
+package alloc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// bench is a pool "p" with scripted entries and workers around a real coordinator.
+type bench struct {
+	c        *Coordinator
+	mu       sync.Mutex
+	view     fleet.View
+	reports  map[fleet.InstanceID]worker.Report
+	sequence map[fleet.EntryID]uint64
+	held     map[fleet.EntryID][]peer.Permit
+	running  map[fleet.EntryID][]peer.Occupied
+	outcomes map[fleet.EntryID][]peer.Outcome
+	steps    []peer.ZoneStep
+	tasks    int
+}
+
+func newBench() *bench {
+	b := &bench{
+		reports: map[fleet.InstanceID]worker.Report{}, sequence: map[fleet.EntryID]uint64{},
+		held: map[fleet.EntryID][]peer.Permit{}, running: map[fleet.EntryID][]peer.Occupied{},
+		outcomes: map[fleet.EntryID][]peer.Outcome{},
+	}
+	b.c = NewCoordinator("coordinator.1", b, b)
+	return b
+}
+
+func (b *bench) View() fleet.View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view
+}
+
+func (b *bench) Report(_ context.Context, address string) (worker.Report, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.reports[fleet.InstanceID(address)]
+	if !ok {
+		return r, errors.New("no reply")
+	}
+	return r, nil
+}
+
+func (b *bench) set(id fleet.InstanceID, slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reports[id] = worker.Report{Instance: id, Slots: slots, Boot: "1"}
+}
+
+// run executes one command of a script.
+func (b *bench) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "fleet":
+		return b.fleet(t, d)
+	case "zone":
+		var name, state string
+		d.ScanArgs(t, "name", &name)
+		d.ScanArgs(t, "state", &state)
+		r := b.view.Revision() + 1
+		b.mu.Lock()
+		b.view = b.view.WithRevision(r).
+			WithZone(fleet.AvailabilityZone(name), fleet.ZoneStatus{State: fleet.ZoneState(state), Generation: r})
+		b.mu.Unlock()
+		return ""
+	case "advance":
+		w, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(w)
+		synctest.Wait()
+		return ""
+	case "worker":
+		return b.worker(t, d)
+	case "poll":
+		return b.poll(t, d)
+	}
+	t.Fatalf("unknown command %q", d.Cmd)
+	return ""
+}
+
+// fleet reads lines "team NAME SHARE", "worker ID ZONE RACK SLOTS" and "queue NAME TEAM SLOTS".
+func (b *bench) fleet(t *testing.T, d *datadriven.TestData) string {
+	doc := fleet.Document{
+		Teams: map[fleet.TeamName]fleet.TeamSection{}, Queues: map[fleet.QueueName]fleet.QueueSection{},
+		Pools: map[fleet.PoolName]fleet.PoolSection{},
+	}
+	var members []fleet.PoolMember
+	for line := range strings.Lines(d.Input) {
+		var kind, name, x, y string
+		var n int
+		_, _ = fmt.Sscan(line, &kind, &name)
+		switch kind {
+		case "team":
+			_, _ = fmt.Sscan(line, &kind, &name, &n)
+			doc.Teams[fleet.TeamName(name)] = fleet.TeamSection{Share: n}
+		case "queue":
+			_, _ = fmt.Sscan(line, &kind, &name, &x, &n)
+			doc.Queues[fleet.QueueName(name)] = fleet.QueueSection{Team: fleet.TeamName(x), Pool: "p", Slots: n}
+		case "worker":
+			_, _ = fmt.Sscan(line, &kind, &name, &x, &y, &n)
+			members = append(members, fleet.PoolMember{
+				ID: fleet.InstanceID(name), Address: name, Zone: fleet.AvailabilityZone(x), Rack: y, Slots: n,
+				State: fleet.InstanceActive,
+			})
+			b.set(fleet.InstanceID(name), n)
+		default:
+			t.Fatalf("unknown line %q", line)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view = b.view.WithRevision(b.view.Revision()+1).WithDocument(doc).WithPool("p", members)
+	return ""
+}
+
+// worker changes what a worker reports: silent, back, or a running task that no entry owns.
+func (b *bench) worker(t *testing.T, d *datadriven.TestData) string {
+	id := fleet.InstanceID(d.CmdArgs[0].Key)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.reports[id]
+	for _, a := range d.CmdArgs[1:] {
+		switch a.Key {
+		case "silent":
+			delete(b.reports, id)
+			return ""
+		case "back":
+			r = worker.Report{Instance: id, Slots: 8, Boot: r.Boot}
+		case "task":
+			r.Tasks = append(r.Tasks, worker.StatusOfOwner{Task: fleet.TaskID(a.Vals[0]), State: worker.Running})
+			r.Used++
+		case "ended":
+			r.Tasks, r.Used = nil, 0
+		case "leaving":
+			r.Leaving = true
+		case "connections":
+			_, _ = fmt.Sscan(a.Vals[0], &r.Connections)
+		default:
+			t.Fatalf("unknown argument %q", a.Key)
+		}
+	}
+	b.reports[id] = r
+	return ""
+}
+
+// poll sends an entry's picture. Lines: "want TEAM WAITING [urgent=N] [usable=N] [size=N]", "start" turns the
+// held permits into tasks, "drop" forgets them, "end TASK|all", "outcome WORKER KIND N QUEUE".
+func (b *bench) poll(t *testing.T, d *datadriven.TestData) string {
+	id := fleet.EntryID(d.CmdArgs[0].Key + ".1")
+	b.sequence[id]++
+	q := peer.PollRequest{From: id, Pool: "p", Sequence: b.sequence[id], Steps: b.steps}
+	for line := range strings.Lines(d.Input) {
+		b.line(t, id, &q, strings.Fields(line))
+	}
+	q.Occupied, q.Outcomes = b.running[id], b.outcomes[id]
+	b.outcomes[id] = nil
+	for _, m := range b.held[id] {
+		q.Unused = append(q.Unused, m.ID)
+	}
+	if d.HasArg("stale") {
+		q.Sequence -= 2
+	}
+	r, err := b.c.Poll(t.Context(), q)
+	if err != nil {
+		return err.Error()
+	}
+	b.held[id] = append(b.held[id], r.Permits...)
+	b.steps = r.Steps
+	return describe(r)
+}
+
+func (b *bench) line(t *testing.T, id fleet.EntryID, q *peer.PollRequest, f []string) {
+	switch f[0] {
+	case "want":
+		m := peer.Demand{Team: fleet.TeamName(f[1])}
+		_, _ = fmt.Sscan(f[2], &m.Waiting)
+		m.Usable = m.Waiting
+		for _, o := range f[3:] {
+			var n int
+			k, v, _ := strings.Cut(o, "=")
+			_, _ = fmt.Sscan(v, &n)
+			switch k {
+			case "urgent":
+				m.Urgent = n
+			case "usable":
+				m.Usable = n
+			case "size":
+				m.Sizes = []peer.Size{{Slots: n, Tasks: m.Waiting / n}}
+			case "oldest":
+				m.Oldest = time.Duration(n) * time.Millisecond
+			}
+		}
+		q.Demand = append(q.Demand, m)
+	case "start":
+		for _, m := range b.held[id] {
+			b.tasks++
+			task := fleet.TaskID(fmt.Sprintf("t%d", b.tasks))
+			b.running[id] = append(b.running[id],
+				peer.Occupied{Task: task, Worker: m.Worker, Team: m.Team, Slots: m.Slots, Urgent: m.Urgent})
+		}
+		b.held[id] = nil
+	case "drop":
+		b.held[id] = nil
+	case "end":
+		b.running[id] = slices.DeleteFunc(b.running[id], func(o peer.Occupied) bool {
+			return f[1] == "all" || string(o.Task) == f[1]
+		})
+	case "outcome":
+		var n int
+		_, _ = fmt.Sscan(f[3], &n)
+		for range n {
+			b.outcomes[id] = append(b.outcomes[id], peer.Outcome{
+				Worker: fleet.InstanceID(f[1]), Kind: peer.OutcomeKind(f[2]), Queue: fleet.QueueName(f[4]),
+				Team: "a", Ran: 100 * time.Millisecond,
+			})
+		}
+	default:
+		t.Fatalf("unknown line %q", f)
+	}
+}
+
+// describe lists the permits as "TEAM WORKER xSLOTS [urgent]" with a count, sorted.
+func describe(r peer.PollReply) string {
+	counts := map[string]int{}
+	for _, m := range r.Permits {
+		s := fmt.Sprintf("%s %s x%d", m.Team, m.Worker, m.Slots)
+		if m.Urgent {
+			s += " urgent"
+		}
+		counts[s]++
+	}
+	var lines []string
+	for s, n := range counts {
+		lines = append(lines, fmt.Sprintf("%d: %s", n, s))
+	}
+	slices.SortFunc(lines, func(a, b string) int { return strings.Compare(a[strings.Index(a, ":"):], b[strings.Index(b, ":"):]) })
+	for _, s := range r.Steps {
+		lines = append(lines, fmt.Sprintf("zone %s generation %d step %d", s.Zone, s.Generation, s.Step))
+	}
+	if len(lines) == 0 {
+		return "nothing\n"
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// TestCoordinator runs the scripts in testdata; each names the failure it guards against.
+func TestCoordinator(t *testing.T) {
+	datadriven.Walk(t, "testdata/coordinator", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench()
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); b.c.Run(ctx) }()
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return b.run(t, d) })
+			cancel()
+			<-done
+		})
+	})
+}
--- /dev/null
+++ b/internal/sched/alloc/pool.go
@@ -0,0 +1,187 @@
+package alloc
+
+import (
+	"sync"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/sched/place"
+	"github.com/yuccahaven/yuccahaven/internal/sched/share"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// node is a worker of the pool as the coordinator knows it.
+type node struct {
+	*place.Node
+	address   string
+	startable bool
+	leaving   bool
+	probed    bool
+	blocked   bool // refused a reservation or was unreachable for an entry since the last probe
+	probing   bool
+	failures  int
+	boot      string
+	// leftover are running tasks that no entry reports, with their slots; unclaimed are those of the last report.
+	leftover  map[fleet.TaskID]int
+	unclaimed map[fleet.TaskID]bool
+}
+
+// team is one team's claim with its demand per entry.
+type team struct {
+	claim   share.Claim
+	unit    int // largest declared size of the team's queues
+	demands []*demand
+}
+
+// pool is the allocation state of one pool.
+type pool struct {
+	name   fleet.PoolName
+	serial uint64
+	prefix string
+
+	mu       sync.Mutex
+	polled   time.Time
+	revision uint64
+	known    bool // the first view was applied
+	document fleet.Document
+	picker   *place.Picker
+	sharer   *share.Sharer
+	workers  map[fleet.InstanceID]*node
+	order    []*node
+	teams    map[fleet.TeamName]*team
+	claims   []*share.Claim
+	entries  map[fleet.EntryID]*entry
+	permits  map[string]*permit
+
+	tasks    map[fleet.TaskID]*task
+	released recent
+}
+
+func newPool(c *Coordinator, name fleet.PoolName, now time.Time) *pool {
+	return &pool{
+		name: name, prefix: permitPrefix(c.self, name, now), polled: now,
+		picker: place.NewPicker(c.connections), sharer: share.NewSharer(c.policy()),
+		workers: map[fleet.InstanceID]*node{}, teams: map[fleet.TeamName]*team{},
+		entries: map[fleet.EntryID]*entry{}, permits: map[string]*permit{}, tasks: map[fleet.TaskID]*task{},
+	}
+}
+
+func (p *pool) idle(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.polled) > idlePool
+}
+
+// follow applies a new view: workers, their states, and the teams' weights.
+func (p *pool) follow(v fleet.View) {
+	if p.known && v.Revision() == p.revision {
+		return
+	}
+	p.known, p.revision = true, v.Revision()
+	p.followWorkers(v)
+	p.document = v.Document()
+	for _, t := range p.teams {
+		p.weigh(t)
+	}
+}
+
+func (p *pool) followWorkers(v fleet.View) {
+	present := map[fleet.InstanceID]bool{}
+	for _, m := range v.Pool(p.name) {
+		present[m.ID] = true
+		w, ok := p.workers[m.ID]
+		if ok && (w.Slots != m.Slots || w.Zone != m.Zone || w.Rack != m.Rack) {
+			p.remove(w)
+			ok = false
+		}
+		if !ok {
+			w = &node{Node: p.picker.Add(place.Worker{ID: m.ID, Zone: m.Zone, Rack: m.Rack, Slots: m.Slots})}
+			p.workers[m.ID] = w
+			p.order = append(p.order, w)
+			p.adopt(w)
+		}
+		w.address, w.startable = m.Address, v.Startable(p.name, m.ID)
+		p.limit(w)
+	}
+	for id, w := range p.workers {
+		if !present[id] {
+			p.remove(w)
+		}
+	}
+}
+
+// adopt counts the tasks and permits that the coordinator already knows on a worker that joined the view later.
+func (p *pool) adopt(w *node) {
+	for _, t := range p.tasks {
+		if t.worker == w.ID {
+			p.picker.Use(w.Node, t.slots)
+		}
+	}
+	for _, m := range p.permits {
+		if m.Worker == w.ID {
+			p.picker.Use(w.Node, m.Slots)
+		}
+	}
+}
+
+func (p *pool) remove(w *node) {
+	p.picker.Remove(w.Node)
+	delete(p.workers, w.ID)
+	for i, o := range p.order {
+		if o == w {
+			p.order = append(p.order[:i], p.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// limit sets how many slots of a worker may be given out.
+func (p *pool) limit(w *node) {
+	slots := 0
+	if w.startable && w.probed && !w.leaving && !w.blocked && w.failures < unreachableAfter {
+		slots = w.Slots
+	}
+	p.picker.Limit(w.Node, slots)
+}
+
+func (p *pool) team(name fleet.TeamName) *team {
+	t, ok := p.teams[name]
+	if !ok {
+		t = &team{claim: share.Claim{Team: name}}
+		p.weigh(t)
+		p.teams[name] = t
+		p.claims = append(p.claims, &t.claim)
+	}
+	return t
+}
+
+func (p *pool) weigh(t *team) {
+	t.claim.Weight = p.document.Teams[t.claim.Team].Share
+	t.unit = 1
+	for _, q := range p.document.Queues {
+		if q.Team == t.claim.Team && q.Pool == p.name {
+			t.unit = max(t.unit, q.Slots)
+		}
+	}
+}
+
+// use changes the slots in use of a worker that may have left the pool.
+func (p *pool) use(id fleet.InstanceID, slots int) {
+	if w, ok := p.workers[id]; ok {
+		p.picker.Use(w.Node, slots)
+	}
+}
+
+// observe takes in the outcomes that entries report.
+func (p *pool) observe(outcomes []peer.Outcome, _ time.Time) {
+	for _, o := range outcomes {
+		w, ok := p.workers[o.Worker]
+		if !ok {
+			continue
+		}
+		if o.Kind == peer.OutcomeRefused || o.Kind == peer.OutcomeUnreachable {
+			w.blocked = true
+			p.limit(w)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/place/fit.go
@@ -0,0 +1,38 @@
+package place
+
+import (
+	"sync"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+// Fit tells which tasks the workers of a pool could ever run; it is safe for concurrent use.
+type Fit struct {
+	mu       sync.Mutex
+	revision uint64
+	largest  map[fleet.PoolName]int
+}
+
+// Fits reports whether some worker of the pool, in whatever state, has enough slots for a task.
+// A pool without workers fits everything, because nothing is known of the workers it will get.
+func (f *Fit) Fits(v fleet.View, p fleet.PoolName, slots int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.largest == nil || f.revision != v.Revision() {
+		f.revision, f.largest = v.Revision(), map[fleet.PoolName]int{}
+	}
+	l, ok := f.largest[p]
+	if !ok {
+		l = largest(v.Pool(p))
+		f.largest[p] = l
+	}
+	return l == 0 || slots <= l
+}
+
+func largest(members []fleet.PoolMember) int {
+	l := 0
+	for _, m := range members {
+		l = max(l, m.Slots)
+	}
+	return l
+}
--- a/internal/wire/peer/messages.go
+++ b/internal/wire/peer/messages.go
@@ -76,6 +76,16 @@
 	Usable int `json:"usable"`
 	// Oldest is the longest wait so far.
 	Oldest time.Duration `json:"oldest"`
+	// Sizes groups the waiting tasks by size; without it every permit is for the largest declared size of the
+	// team's queues.
+	Sizes []Size `json:"sizes,omitempty"`
+}
+
+// Size counts the waiting tasks of one size and urgency.
+type Size struct {
+	Slots  int  `json:"slots"`
+	Tasks  int  `json:"tasks"`
+	Urgent bool `json:"urgent,omitempty"`
 }
 
 // Occupied is one task that holds slots of a worker, from its reservation to its known end.
@@ -222,6 +232,11 @@
 		if d.Waiting < 0 || d.Urgent < 0 || d.Usable < 0 {
 			return fmt.Errorf("%w: negative demand of team %q", ErrMessage, d.Team)
 		}
+		for _, z := range d.Sizes {
+			if z.Slots < 1 || z.Tasks < 0 {
+				return fmt.Errorf("%w: team %q waits for %d tasks of %d slots", ErrMessage, d.Team, z.Tasks, z.Slots)
+			}
+		}
 	}
 	for _, o := range m.Occupied {
 		if o.Slots < 1 {
