spec, budget: Decode document sections and change pools under budgets

Operators' sections need every problem reported at once and with its place, and planners and operators need changes of pool membership that can't break a pool's min when they race.

A drain for a reboot names the pool the instance returns to, which tells it from an operator's drain without a further field.

--- a/internal/model/spec/spec.go
+++ b/internal/model/spec/spec.go
@@ -1,2 +1,70 @@
 // Package spec decodes and checks the sections of the document.
+//
+// Every problem is collected as a Finding with its place, so that operators see all of them at once.
 package spec
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+// Finding is one problem of a section; Line and Column start at 1 and are 0 if the problem has no place.
+type Finding struct {
+	Section string `json:"section"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+}
+
+// String returns "section:line:column: message".
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", f.Section, f.Line, f.Column, f.Message)
+}
+
+// Decode decodes sections and checks each one and their references to each other.
+// The document is usable only if there are no findings.
+func Decode(sections []fleet.Section) (fleet.Document, []Finding) {
+	d := newDecoder()
+	for _, s := range sections {
+		d.text(s)
+	}
+	return d.finish()
+}
+
+// Check decodes the view's document with one section added or replaced.
+func Check(v fleet.View, changed fleet.Section) (fleet.Document, []Finding) {
+	return Decode(v.WithSection(changed).Sections())
+}
+
+// CheckWithout decodes the view's document without a section.
+// A pool that still has instances can't be removed, since its instances would belong to no pool.
+func CheckWithout(v fleet.View, name string) (fleet.Document, []Finding) {
+	d, findings := Decode(v.WithoutSection(name).Sections())
+	return d, append(findings, Stranded(v, d)...)
+}
+
+// Stranded returns a finding for each pool that has instances in the view and no section in the document.
+func Stranded(v fleet.View, d fleet.Document) []Finding {
+	var findings []Finding
+	for _, p := range v.PoolNames() {
+		if _, ok := d.Pools[p]; !ok && len(v.Pool(p)) > 0 {
+			findings = append(findings, Finding{Section: kindPool + "/" + string(p),
+				Message: fmt.Sprintf("the pool still has %d instances; move them first", len(v.Pool(p)))})
+		}
+	}
+	return findings
+}
+
+func sortFindings(findings []Finding) []Finding {
+	slices.SortStableFunc(findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Section, b.Section), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			cmp.Compare(a.Message, b.Message))
+	})
+	return slices.Compact(findings)
+}
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/plan/budget/budget.go
@@ -0,0 +1,175 @@
+// Package budget holds the pure changes of pool membership and checks each against the pools' availability budgets.
+//
+// Every function takes a view and returns the items of one transaction that is conditional on that view's revision,
+// so that racing operators and planners see each other's changes. An instance counts as available if it is active
+// and its availability zone is in service. Instances that the caller knows to be unreachable, or not yet back after
+// a return of their zone, are given as failed and don't count. Planned work may not take a pool below its min;
+// a change that leaves the number of available instances as it is, such as maintenance in a zone that is out,
+// is allowed at any time.
+package budget
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+)
+
+// Available counts the instances of a pool that are active, in an availability zone in service and not failed.
+func Available(v fleet.View, p fleet.PoolName, failed ...fleet.InstanceID) int {
+	n := 0
+	for _, m := range v.Pool(p) {
+		if isAvailable(v, m, failed) {
+			n++
+		}
+	}
+	return n
+}
+
+func isAvailable(v fleet.View, m fleet.PoolMember, failed []fleet.InstanceID) bool {
+	return m.State == fleet.InstanceActive && v.Zone(m.Zone).State == fleet.ZoneIn && !slices.Contains(failed, m.ID)
+}
+
+// Room returns how many more instances of a pool planned work may make unavailable; it is never negative.
+func Room(v fleet.View, p fleet.PoolName, failed ...fleet.InstanceID) int {
+	return max(0, Available(v, p, failed...)-v.Document().Pools[p].Min)
+}
+
+// Drain takes an instance out of service until Undrain.
+func Drain(v fleet.View, id fleet.InstanceID, failed ...fleet.InstanceID) ([]fleet.Item, error) {
+	return drain(v, id, "", failed)
+}
+
+// Renew takes an instance out of service for a reboot, after which it returns to its pool.
+// It refuses an instance that is drained until Undrain or moves to another pool.
+func Renew(v fleet.View, id fleet.InstanceID, failed ...fleet.InstanceID) ([]fleet.Item, error) {
+	p, m, err := find(v, id)
+	if err != nil {
+		return nil, err
+	}
+	if m.State == fleet.InstanceDraining && m.Target != p {
+		return nil, wrongState(m, "is being drained for another reason")
+	}
+	return drain(v, id, p, failed)
+}
+
+// Move takes an instance out of service for a reboot, after which it becomes a member of the target pool.
+// Until then it stays a member of its present pool.
+func Move(v fleet.View, id fleet.InstanceID, target fleet.PoolName, failed ...fleet.InstanceID) ([]fleet.Item, error) {
+	p, _, err := find(v, id)
+	if err != nil {
+		return nil, err
+	}
+	if _, ok := v.Document().Pools[target]; !ok {
+		return nil, reject.New(reject.KindRequest, reject.WorkNotRun, "unknown pool %q", target)
+	}
+	if p == target {
+		return nil, reject.New(reject.KindRequest, reject.WorkNotRun, "instance %q is already in pool %q", id, target)
+	}
+	return drain(v, id, target, failed)
+}
+
+// drain marks an instance as draining towards a pool; the empty target means until Undrain.
+func drain(v fleet.View, id fleet.InstanceID, target fleet.PoolName, failed []fleet.InstanceID) ([]fleet.Item, error) {
+	p, m, err := find(v, id)
+	if err != nil {
+		return nil, err
+	}
+	if m.State == fleet.InstanceRebooting {
+		return nil, wrongState(m, "can't be drained")
+	}
+	if isAvailable(v, m, failed) && Room(v, p, failed...) == 0 {
+		return nil, refused(v, p, failed)
+	}
+	m.State, m.Target = fleet.InstanceDraining, target
+	return replace(v, p, m), nil
+}
+
+// Undrain returns a draining instance to service in its pool and gives up its reboot or move.
+func Undrain(v fleet.View, id fleet.InstanceID) ([]fleet.Item, error) {
+	p, m, err := find(v, id)
+	if err != nil {
+		return nil, err
+	}
+	if m.State == fleet.InstanceRebooting {
+		return nil, wrongState(m, "can't be returned to service")
+	}
+	m.State, m.Target = fleet.InstanceActive, ""
+	return replace(v, p, m), nil
+}
+
+// Reboot marks a drained instance as rebooting; the caller has seen it idle.
+// Only an instance drained by Renew or Move may be rebooted.
+func Reboot(v fleet.View, id fleet.InstanceID) ([]fleet.Item, error) {
+	p, m, err := find(v, id)
+	if err != nil {
+		return nil, err
+	}
+	if m.State != fleet.InstanceDraining || m.Target == "" {
+		return nil, wrongState(m, "is not drained for a reboot")
+	}
+	m.State = fleet.InstanceRebooting
+	return replace(v, p, m), nil
+}
+
+// Activate returns a rebooted instance to service with the version it reported, as a member of the pool it moves to.
+// If that pool has been removed meanwhile, the instance stays in its present one.
+func Activate(v fleet.View, id fleet.InstanceID, version string) ([]fleet.Item, error) {
+	p, m, err := find(v, id)
+	if err != nil {
+		return nil, err
+	}
+	if m.State != fleet.InstanceRebooting {
+		return nil, wrongState(m, "is not rebooting")
+	}
+	target := m.Target
+	m.State, m.Target, m.Version = fleet.InstanceActive, "", version
+	if _, ok := v.Document().Pools[target]; !ok || target == p {
+		return replace(v, p, m), nil
+	}
+	return []fleet.Item{
+		poolItem(p, without(v.Pool(p), id)),
+		poolItem(target, with(v.Pool(target), m)),
+	}, nil
+}
+
+func find(v fleet.View, id fleet.InstanceID) (fleet.PoolName, fleet.PoolMember, error) {
+	p, ok := v.PoolOf(id)
+	if !ok {
+		return "", fleet.PoolMember{}, reject.New(reject.KindRequest, reject.WorkNotRun, "unknown instance %q", id)
+	}
+	m, _ := v.PoolMember(p, id)
+	return p, m, nil
+}
+
+func wrongState(m fleet.PoolMember, problem string) error {
+	return reject.New(reject.KindConflict, reject.WorkNotRun, "instance %q is %s and %s", m.ID, m.State, problem)
+}
+
+func refused(v fleet.View, p fleet.PoolName, failed []fleet.InstanceID) error {
+	return reject.New(reject.KindBudget, reject.WorkNotRun, "%s", shortage(v, p, Available(v, p, failed...)-1))
+}
+
+func shortage(v fleet.View, p fleet.PoolName, left int) string {
+	return fmt.Sprintf("pool %q would have %d of %d instances available, below its min of %d",
+		p, max(0, left), len(v.Pool(p)), v.Document().Pools[p].Min)
+}
+
+// Zone returns a finding for each pool that a changed section of an availability zone would take below its min.
+func Zone(v fleet.View, s fleet.Section, d fleet.Document, failed ...fleet.InstanceID) []spec.Finding {
+	z, ok := spec.ZoneName(s.Name)
+	if !ok || d.Zones[z].State != fleet.ZoneOut || v.Zone(z).State == fleet.ZoneOut {
+		return nil
+	}
+	after := v.WithDocument(d).WithZone(z, fleet.ZoneStatus{State: fleet.ZoneOut})
+	var findings []spec.Finding
+	for _, p := range v.PoolNames() {
+		left := Available(after, p, failed...)
+		if left < d.Pools[p].Min && left < Available(v, p, failed...) {
+			findings = append(findings, spec.Finding{Section: s.Name, Message: shortage(after, p, left)})
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/plan/budget/roster.go
@@ -0,0 +1,158 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+)
+
+// Join makes listed live workers that are in no pool members of the pools that have the fewest of their min.
+// Instances of a zone are spread over the pools first, so that the loss of a zone costs every pool the same.
+// It returns no items if there is nothing to do.
+func Join(v fleet.View, listings []roster.Listing) []fleet.Item {
+	c := newChange(v)
+	for _, l := range listings {
+		if l.Kind != roster.Worker || l.State != roster.Live {
+			continue
+		}
+		if p, ok := c.poolOf(l.ID); ok {
+			c.readdress(p, l)
+			continue
+		}
+		if p, ok := c.emptiest(l.Zone); ok {
+			c.set(p, fleet.PoolMember{ID: l.ID, Address: l.Address, Zone: l.Zone, Rack: l.Rack, Slots: l.Slots,
+				State: fleet.InstanceActive})
+		}
+	}
+	return c.items()
+}
+
+// Depart drains the listed workers that the platform is taking away. The platform has decided on it already,
+// so no budget is checked; it counts against the budgets of planned work.
+func Depart(v fleet.View, listings []roster.Listing) []fleet.Item {
+	c := newChange(v)
+	for _, l := range listings {
+		p, ok := c.poolOf(l.ID)
+		if !ok || l.State != roster.Leaving {
+			continue
+		}
+		if m := c.pools[p][l.ID]; m.State == fleet.InstanceActive {
+			m.State, m.Target = fleet.InstanceDraining, ""
+			c.set(p, m)
+		}
+	}
+	return c.items()
+}
+
+// Leave removes instances that are gone: absent from the roster, which lags, and unreachable as well.
+func Leave(v fleet.View, gone ...fleet.InstanceID) []fleet.Item {
+	c := newChange(v)
+	for _, id := range gone {
+		if p, ok := c.poolOf(id); ok {
+			delete(c.pools[p], id)
+			c.changed[p] = true
+		}
+	}
+	return c.items()
+}
+
+// Gone returns the members that are absent from the roster and unreachable, sorted.
+func Gone(v fleet.View, listings []roster.Listing, unreachable ...fleet.InstanceID) []fleet.InstanceID {
+	listed := map[fleet.InstanceID]bool{}
+	for _, l := range listings {
+		listed[l.ID] = true
+	}
+	var gone []fleet.InstanceID
+	for _, id := range unreachable {
+		if _, ok := v.PoolOf(id); ok && !listed[id] {
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return slices.Compact(gone)
+}
+
+// change is a copy of the pools that is being changed.
+type change struct {
+	view    fleet.View
+	pools   map[fleet.PoolName]map[fleet.InstanceID]fleet.PoolMember
+	index   map[fleet.InstanceID]fleet.PoolName
+	changed map[fleet.PoolName]bool
+	// counts holds the members by pool and zone; the zone "" stands for all zones.
+	counts map[poolZone]int
+}
+
+type poolZone struct {
+	pool fleet.PoolName
+	zone fleet.AvailabilityZone
+}
+
+func newChange(v fleet.View) *change {
+	c := &change{view: v, pools: map[fleet.PoolName]map[fleet.InstanceID]fleet.PoolMember{},
+		index: map[fleet.InstanceID]fleet.PoolName{}, changed: map[fleet.PoolName]bool{},
+		counts: map[poolZone]int{}}
+	for _, p := range v.PoolNames() {
+		c.pools[p] = map[fleet.InstanceID]fleet.PoolMember{}
+		for _, m := range v.Pool(p) {
+			c.put(p, m)
+		}
+	}
+	return c
+}
+
+func (c *change) poolOf(id fleet.InstanceID) (fleet.PoolName, bool) {
+	p, ok := c.index[id]
+	return p, ok
+}
+
+func (c *change) set(p fleet.PoolName, m fleet.PoolMember) {
+	c.put(p, m)
+	c.changed[p] = true
+}
+
+func (c *change) put(p fleet.PoolName, m fleet.PoolMember) {
+	if _, ok := c.pools[p][m.ID]; !ok {
+		c.counts[poolZone{p, m.Zone}]++
+		c.counts[poolZone{p, ""}]++
+	}
+	c.pools[p][m.ID] = m
+	c.index[m.ID] = p
+}
+
+// readdress follows an instance that was replaced under the same identifier.
+func (c *change) readdress(p fleet.PoolName, l roster.Listing) {
+	m := c.pools[p][l.ID]
+	if m.Address == l.Address && m.Zone == l.Zone && m.Rack == l.Rack && m.Slots == l.Slots {
+		return
+	}
+	m.Address, m.Zone, m.Rack, m.Slots = l.Address, l.Zone, l.Rack, l.Slots
+	c.set(p, m)
+}
+
+// emptiest returns the pool of the document with the fewest members of a zone in proportion to its min,
+// then with the fewest members at all, then the first by name.
+func (c *change) emptiest(z fleet.AvailabilityZone) (fleet.PoolName, bool) {
+	var best fleet.PoolName
+	found := false
+	for _, p := range slices.Sorted(maps.Keys(c.view.Document().Pools)) {
+		if !found || c.fill(p, z) < c.fill(best, z) || c.fill(p, z) == c.fill(best, z) && c.fill(p, "") < c.fill(best, "") {
+			best, found = p, true
+		}
+	}
+	return best, found
+}
+
+// fill returns the members of a pool in a zone ("" for all zones) in proportion to its min.
+func (c *change) fill(p fleet.PoolName, z fleet.AvailabilityZone) float64 {
+	return float64(c.counts[poolZone{p, z}]) / float64(1+c.view.Document().Pools[p].Min)
+}
+
+func (c *change) items() []fleet.Item {
+	var items []fleet.Item
+	for _, p := range slices.Sorted(maps.Keys(c.changed)) {
+		items = append(items, poolItem(p, slices.Collect(maps.Values(c.pools[p]))))
+	}
+	return items
+}
