--- a/cmd/yuccalab/main.go
+++ b/cmd/yuccalab/main.go
@@ -1,4 +1,10 @@
-// Command yuccalab is described in the README.
+// Command yuccalab runs stand-ins for the platform, the demo, load and checks of yuccahaven.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/bench"
+)
+
+func main() { os.Exit(bench.Main(os.Args[1:], os.Stdout)) }
--- /dev/null
+++ b/internal/lab/port/network.go
@@ -0,0 +1,215 @@
+package port
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"syscall"
+)
+
+// Network is an http.RoundTripper that reaches handlers in memory by host name.
+// It uses no sockets, so that stand-ins and clients run inside a synctest bubble.
+type Network struct {
+	mu    sync.Mutex
+	hosts map[string]*Host
+}
+
+// NewNetwork returns a network without hosts.
+func NewNetwork() *Network { return &Network{hosts: map[string]*Host{}} }
+
+// Listen adds a host; its address is the host part of request URLs.
+func (n *Network) Listen(address string, h http.Handler) *Host {
+	host := &Host{address: address, handler: h, calls: map[*call]bool{}}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[address] = host
+	return host
+}
+
+// RoundTrip implements http.RoundTripper. A host that is unknown or refused fails before GotConn is reported.
+func (n *Network) RoundTrip(r *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	h := n.hosts[r.URL.Host]
+	n.mu.Unlock()
+	if h == nil {
+		return nil, refused()
+	}
+	return h.roundTrip(r)
+}
+
+func refused() error { return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED} }
+
+// Host is a Door in memory; its calls in progress stand for connections.
+type Host struct {
+	address string
+	handler http.Handler
+
+	mu      sync.Mutex
+	refused bool
+	calls   map[*call]bool
+}
+
+var _ Door = (*Host)(nil)
+
+type call struct {
+	broken chan struct{}
+	silent bool
+}
+
+// Address returns the host's address.
+func (h *Host) Address() string { return h.address }
+
+// Connections returns the number of calls in progress.
+func (h *Host) Connections() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.calls)
+}
+
+// Refuse breaks the calls in progress and refuses new ones.
+func (h *Host) Refuse() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refused = true
+	for c := range h.calls {
+		close(c.broken)
+		delete(h.calls, c)
+	}
+}
+
+// Reopen accepts calls again.
+func (h *Host) Reopen() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refused = false
+	return nil
+}
+
+// Silence makes the calls in progress unresponsive for good.
+func (h *Host) Silence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.calls {
+		c.silent = true
+	}
+}
+
+func (h *Host) roundTrip(r *http.Request) (*http.Response, error) {
+	c := &call{broken: make(chan struct{})}
+	if !h.begin(c) {
+		return nil, refused()
+	}
+	if t := httptrace.ContextClientTrace(r.Context()); t != nil && t.GotConn != nil {
+		t.GotConn(httptrace.GotConnInfo{})
+	}
+	in, err := serverRequest(r)
+	if err != nil {
+		h.end(c)
+		return nil, err
+	}
+	done := make(chan *http.Response, 1)
+	go func() {
+		defer close(done)
+		if res := serve(h.handler, in); res != nil {
+			done <- res
+		}
+	}()
+	select {
+	case res := <-done:
+		if h.end(c) {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		if res == nil {
+			return nil, io.ErrUnexpectedEOF
+		}
+		res.Request = r
+		return res, nil
+	case <-c.broken:
+		return nil, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	case <-r.Context().Done():
+		h.end(c)
+		return nil, r.Context().Err()
+	}
+}
+
+func (h *Host) begin(c *call) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.refused {
+		return false
+	}
+	h.calls[c] = true
+	return true
+}
+
+func (h *Host) end(c *call) (silent bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.calls, c)
+	return c.silent
+}
+
+func serverRequest(r *http.Request) (*http.Request, error) {
+	in := r.Clone(r.Context())
+	in.RequestURI = r.URL.RequestURI()
+	in.RemoteAddr = "memory"
+	if r.Body == nil {
+		in.Body = http.NoBody
+		return in, nil
+	}
+	b, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	in.Body = io.NopCloser(bytes.NewReader(b))
+	return in, err
+}
+
+// serve returns nil if the handler gave the request up with http.ErrAbortHandler.
+func serve(h http.Handler, r *http.Request) (res *http.Response) {
+	w := &writer{header: http.Header{}, status: http.StatusOK}
+	defer func() {
+		switch p := recover(); {
+		case p == nil:
+		case errors.Is(asError(p), http.ErrAbortHandler):
+			res = nil
+		default:
+			panic(p)
+		}
+	}()
+	h.ServeHTTP(w, r)
+	return w.response()
+}
+
+func asError(p any) error {
+	err, _ := p.(error)
+	return err
+}
+
+type writer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the header to send.
+func (w *writer) Header() http.Header { return w.header }
+
+// WriteHeader sets the status.
+func (w *writer) WriteHeader(status int) { w.status = status }
+
+// Write appends to the body.
+func (w *writer) Write(b []byte) (int, error) { return w.body.Write(b) }
+
+func (w *writer) response() *http.Response {
+	length := w.body.Len()
+	w.header.Set("Content-Length", fmt.Sprint(length))
+	return &http.Response{
+		StatusCode: w.status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: w.header, Body: io.NopCloser(&w.body), ContentLength: int64(length),
+	}
+}
--- /dev/null
+++ b/internal/lab/store/table.go
@@ -0,0 +1,92 @@
+package store
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+)
+
+// Limits of one call.
+const (
+	maxScan   = 1000
+	maxWrites = 500
+)
+
+// data is the table's content; one lock makes every call linearizable.
+type data struct {
+	mu     sync.Mutex
+	commit uint64
+	items  map[string]table.Item
+	// keys is sorted, for scans.
+	keys []string
+}
+
+func newData() *data { return &data{items: map[string]table.Item{}} }
+
+func (d *data) get(keys []string) []table.Item {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := []table.Item{}
+	for _, k := range keys {
+		if it, ok := d.items[k]; ok {
+			found = append(found, it)
+		}
+	}
+	return found
+}
+
+func (d *data) scan(q table.ScanRequest) []table.Item {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limit := q.Limit
+	if limit <= 0 || limit > maxScan {
+		limit = maxScan
+	}
+	found := []table.Item{}
+	for i := sort.SearchStrings(d.keys, max(q.Prefix, q.After)); i < len(d.keys) && len(found) < limit; i++ {
+		k := d.keys[i]
+		if k == q.After && q.After != "" {
+			continue
+		}
+		if !strings.HasPrefix(k, q.Prefix) {
+			break
+		}
+		found = append(found, d.items[k])
+	}
+	return found
+}
+
+// apply returns the commit number, or false if a condition does not hold.
+func (d *data) apply(t table.Transaction) (uint64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range t.Conditions {
+		// An absent item has version 0.
+		if d.items[c.Key].Version != c.Version {
+			return 0, false
+		}
+	}
+	d.commit++
+	for _, w := range t.Writes {
+		d.write(w)
+	}
+	return d.commit, true
+}
+
+func (d *data) write(w table.Write) {
+	i, present := slices.BinarySearch(d.keys, w.Key)
+	switch {
+	case w.Delete && present:
+		delete(d.items, w.Key)
+		d.keys = slices.Delete(d.keys, i, i+1)
+	case w.Delete:
+	default:
+		if !present {
+			d.keys = slices.Insert(d.keys, i, w.Key)
+		}
+		d.items[w.Key] = table.Item{Key: w.Key, Value: slices.Clone(w.Value), Version: d.commit}
+	}
+}
