--- /dev/null
+++ b/internal/lab/fakes/table.go
@@ -0,0 +1,186 @@
+// Package fakes holds in-memory stand-ins for the store and the peers, with the faults that tests need.
+package fakes
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+)
+
+// Table is a linearizable table in memory. Each entry instance uses it through a Link of its own.
+type Table struct {
+	mu      sync.Mutex
+	items   map[string]table.Item
+	version uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{items: map[string]table.Item{}} }
+
+// Commits returns the number of transactions that took effect.
+func (t *Table) Commits() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+func (t *Table) commit(x table.Transaction) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range x.Conditions {
+		if t.items[c.Key].Version != c.Version {
+			return 0, table.ErrConflict
+		}
+	}
+	t.version++
+	for _, w := range x.Writes {
+		if w.Delete {
+			delete(t.items, w.Key)
+		} else {
+			t.items[w.Key] = table.Item{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+		}
+	}
+	return t.version, nil
+}
+
+func (t *Table) get(keys []string) []table.Item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []table.Item
+	for _, k := range keys {
+		if i, ok := t.items[k]; ok {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+func (t *Table) scan(prefix, after string, limit int) []table.Item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []table.Item
+	for k, i := range t.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			found = append(found, i)
+		}
+	}
+	slices.SortFunc(found, func(a, b table.Item) int { return strings.Compare(a.Key, b.Key) })
+	return found[:min(limit, len(found))]
+}
+
+// Faults says how a Link misbehaves.
+type Faults struct {
+	// Down makes every request fail without effect.
+	Down bool
+	// Delay is the time of a request; half of it passes before the request takes effect.
+	Delay time.Duration
+	// Lose counts the next commits that take effect without a reply, Drop those that vanish, and Late
+	// those that take effect LateBy after the caller was told that the outcome is unknown.
+	Lose, Drop, Late int
+	LateBy           time.Duration
+}
+
+// Link is one client's way to a Table; it implements table.Table.
+type Link struct {
+	table  *Table
+	mu     sync.Mutex
+	faults Faults
+}
+
+// Link returns a new faultless way to the table.
+func (t *Table) Link() *Link { return &Link{table: t} }
+
+// Set replaces the faults.
+func (l *Link) Set(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Get implements table.Reader.
+func (l *Link) Get(ctx context.Context, keys ...string) ([]table.Item, error) {
+	return read(ctx, l, func() []table.Item { return l.table.get(keys) })
+}
+
+// Scan implements table.Reader.
+func (l *Link) Scan(ctx context.Context, prefix, after string, limit int) ([]table.Item, error) {
+	return read(ctx, l, func() []table.Item { return l.table.scan(prefix, after, limit) })
+}
+
+func read(ctx context.Context, l *Link, f func() []table.Item) ([]table.Item, error) {
+	delay, err := l.begin(ctx)
+	if err != nil {
+		return nil, err
+	}
+	items := f()
+	if !sleep(ctx, delay) {
+		return nil, table.ErrUnavailable
+	}
+	return items, nil
+}
+
+// Commit implements table.Table.
+func (l *Link) Commit(ctx context.Context, x table.Transaction) (uint64, error) {
+	delay, err := l.begin(ctx)
+	if err != nil {
+		return 0, err
+	}
+	lose, drop, late := l.fate()
+	switch {
+	case drop:
+		return 0, table.ErrUnknown
+	case late > 0:
+		time.AfterFunc(late, func() { _, _ = l.table.commit(x) })
+		return 0, table.ErrUnknown
+	}
+	version, err := l.table.commit(x)
+	if lose || !sleep(ctx, delay) {
+		return 0, table.ErrUnknown
+	}
+	return version, err
+}
+
+func (l *Link) begin(ctx context.Context) (time.Duration, error) {
+	l.mu.Lock()
+	f := l.faults
+	l.mu.Unlock()
+	if f.Down || !sleep(ctx, f.Delay/2) {
+		return 0, table.ErrUnavailable
+	}
+	return f.Delay - f.Delay/2, nil
+}
+
+func (l *Link) fate() (lose, drop bool, late time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.faults.Lose > 0:
+		l.faults.Lose--
+		return true, false, 0
+	case l.faults.Drop > 0:
+		l.faults.Drop--
+		return false, true, 0
+	case l.faults.Late > 0:
+		l.faults.Late--
+		return false, false, l.faults.LateBy
+	}
+	return false, false, 0
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/state/claim/ledger.go
@@ -0,0 +1,266 @@
+// Package claim keeps the durable task records: it batches their writes, settles writes whose reply was
+// lost, finds records of lost owners and deletes old ones.
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/object"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+)
+
+// Errors of the Ledger. After ErrUnavailable nothing was written; after ErrUnknown it may have been.
+var (
+	ErrExists      = errors.New("claim: the task has a record")
+	ErrConflict    = errors.New("claim: the record was changed")
+	ErrAbsent      = errors.New("claim: no such record")
+	ErrUnavailable = errors.New("claim: the store is unavailable, nothing was written")
+	ErrUnknown     = errors.New("claim: the record may or may not have been written")
+)
+
+const (
+	// batchInterval is the least time between two transactions of one entry instance: 240 writes a second for six.
+	batchInterval = 25 * time.Millisecond
+	// batchSlack is how much early a batch may go, so that rounding in the limiter doesn't cost a whole interval.
+	batchSlack = time.Millisecond
+	// batchMost bounds the records of one transaction.
+	batchMost = 100
+	// Retention is how long a record is kept after its last write.
+	Retention    = 10 * time.Minute
+	storeTimeout = 2 * time.Second
+	// settleWithin bounds the search for the outcome of a write without a reply.
+	settleWithin   = 5 * time.Second
+	settleInterval = 100 * time.Millisecond
+)
+
+// Ledger reads and writes task records. Its methods may be called from any goroutine.
+type Ledger struct {
+	table     table.Table
+	objects   object.Store
+	self      func() fleet.EntryID
+	log       *zap.Logger
+	commits   metrics.Counter
+	retention time.Duration
+	limiter   *rate.Limiter
+	queue     chan *request
+	buckets   buckets
+}
+
+// Option changes a Ledger.
+type Option func(*Ledger)
+
+// WithLog sets the logger.
+func WithLog(l *zap.Logger) Option { return func(d *Ledger) { d.log = l } }
+
+// WithRetention sets how long records are kept after their last write.
+func WithRetention(d time.Duration) Option { return func(l *Ledger) { l.retention = d } }
+
+// WithMetrics registers the count of the Ledger's store writes as "claim.commits".
+func WithMetrics(r metrics.Registry) Option {
+	return func(l *Ledger) { l.commits = metrics.GetOrRegisterCounter("claim.commits", r) }
+}
+
+// New returns a Ledger; self returns the present identifier of this entry instance.
+func New(self func() fleet.EntryID, t table.Table, o object.Store, options ...Option) *Ledger {
+	l := &Ledger{
+		table: t, objects: o, self: self, log: zap.NewNop(), commits: metrics.NewCounter(),
+		retention: Retention, queue: make(chan *request),
+		limiter: rate.NewLimiter(rate.Every(batchInterval), 1),
+		buckets: buckets{seen: map[string]time.Time{}},
+	}
+	for _, f := range options {
+		f(l)
+	}
+	return l
+}
+
+// request is one record to be written, on condition that its key is at a version.
+type request struct {
+	ctx     context.Context
+	record  Record
+	old     Record // the present record of a replacement
+	version uint64 // 0 for a new record
+	done    chan outcome
+}
+
+type outcome struct {
+	record Record
+	err    error
+}
+
+// Claim writes a new record. It returns ErrExists with the present record if the task has one.
+func (l *Ledger) Claim(ctx context.Context, r Record) (Record, error) {
+	if r.State == "" {
+		r.State = Open
+	}
+	return l.submit(ctx, &request{record: r})
+}
+
+// Replace writes a record in place of the one that a previous call returned. It returns ErrConflict with
+// the present record if that one was changed meanwhile; a deleted record gives ErrAbsent.
+func (l *Ledger) Replace(ctx context.Context, old, next Record) (Record, error) {
+	if old.version == 0 || old.Team != next.Team || old.ID != next.ID {
+		return Record{}, fmt.Errorf("claim: task %s/%s can't replace %s/%s", next.Team, next.ID, old.Team, old.ID)
+	}
+	return l.submit(ctx, &request{record: next, old: old, version: old.version})
+}
+
+// Find returns the present record of a task, or ErrAbsent.
+func (l *Ledger) Find(ctx context.Context, t fleet.TeamName, id string) (Record, error) {
+	found, err := l.get(ctx, taskKey(t, id))
+	if err != nil {
+		return Record{}, err
+	}
+	if r, ok := found[taskKey(t, id)]; ok {
+		return r, nil
+	}
+	return Record{}, ErrAbsent
+}
+
+func (l *Ledger) get(ctx context.Context, keys ...string) (map[string]Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	items, err := l.table.Get(ctx, keys...)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	found := make(map[string]Record, len(items))
+	for _, i := range items {
+		var r Record
+		if err := json.Unmarshal(i.Value, &r); err != nil {
+			return nil, fmt.Errorf("claim: %s: %w", i.Key, err)
+		}
+		r.version = i.Version
+		found[i.Key] = r
+	}
+	return found, nil
+}
+
+// submit waits until the record was written in a batch. If the context ends while the batch is being
+// written, the outcome is unknown to the caller.
+func (l *Ledger) submit(ctx context.Context, q *request) (Record, error) {
+	q.ctx, q.done = ctx, make(chan outcome, 1)
+	q.record.Write = ulid.Make().String()
+	q.record.Bucket = l.buckets.current(l.self(), time.Now())
+	select {
+	case l.queue <- q:
+	case <-ctx.Done():
+		return Record{}, fmt.Errorf("%w: %w", ErrUnavailable, context.Cause(ctx))
+	}
+	select {
+	case o := <-q.done:
+		return o.record, o.err
+	case <-ctx.Done():
+		return Record{}, fmt.Errorf("%w: %w", ErrUnknown, context.Cause(ctx))
+	}
+}
+
+// Run writes batches until the context ends.
+func (l *Ledger) Run(ctx context.Context) {
+	var g sync.WaitGroup
+	defer g.Wait()
+	t := time.NewTicker(batchInterval)
+	defer t.Stop()
+	var batch batch
+	for {
+		if l.mayCommit(&batch) {
+			if now := batch.take(); len(now) > 0 {
+				g.Go(func() { l.write(ctx, now, &batch) })
+			}
+		}
+		select {
+		case q := <-l.queue:
+			batch.add(q)
+		case <-t.C:
+		case <-ctx.Done():
+			batch.fail(fmt.Errorf("%w: %w", ErrUnavailable, context.Cause(ctx)))
+			return
+		}
+	}
+}
+
+// mayCommit takes the next turn to commit if something waits and the turn has come.
+func (l *Ledger) mayCommit(b *batch) bool {
+	if b.empty() {
+		return false
+	}
+	r := l.limiter.Reserve()
+	if r.Delay() <= batchSlack {
+		return true
+	}
+	r.Cancel()
+	return false
+}
+
+// batch collects requests; a key is in at most one open transaction at a time.
+type batch struct {
+	mu      sync.Mutex
+	waiting []*request
+	writing map[string]bool
+}
+
+func (b *batch) add(q ...*request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting = append(b.waiting, q...)
+}
+
+func (b *batch) empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.waiting) == 0
+}
+
+// take returns the requests of the next transaction.
+func (b *batch) take() []*request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.writing == nil {
+		b.writing = map[string]bool{}
+	}
+	var now, later []*request
+	for _, q := range b.waiting {
+		key := q.record.key()
+		switch {
+		case q.ctx.Err() != nil:
+			q.done <- outcome{err: fmt.Errorf("%w: %w", ErrUnavailable, context.Cause(q.ctx))}
+		case len(now) >= batchMost || b.writing[key]:
+			later = append(later, q)
+		default:
+			b.writing[key] = true
+			now = append(now, q)
+		}
+	}
+	b.waiting = later
+	return now
+}
+
+// finish ends the transaction of requests; those in again are written in a later one.
+func (b *batch) finish(now, again []*request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, q := range now {
+		delete(b.writing, q.record.key())
+	}
+	b.waiting = append(again, b.waiting...)
+}
+
+func (b *batch) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, q := range b.waiting {
+		q.done <- outcome{err: err}
+	}
+	b.waiting = nil
+}
--- /dev/null
+++ b/internal/state/claim/write.go
@@ -0,0 +1,154 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+)
+
+// write commits requests in one transaction and answers each one. If some conditions don't hold, those
+// requests fail and the rest goes into a later transaction.
+func (l *Ledger) write(ctx context.Context, now []*request, b *batch) {
+	var again []*request
+	defer func() { b.finish(now, again) }()
+	t, err := transaction(now)
+	if err != nil {
+		fail(now, err)
+		return
+	}
+	version, err := l.commit(ctx, t)
+	switch {
+	case err == nil:
+		succeed(now, version)
+	case errors.Is(err, table.ErrUnavailable):
+		fail(now, fmt.Errorf("%w: %w", ErrUnavailable, err))
+	case errors.Is(err, table.ErrConflict):
+		again, err = l.sort(ctx, now)
+		if err != nil {
+			fail(now, err)
+		}
+	default:
+		again = l.settle(ctx, now, t)
+	}
+}
+
+// settle finds out whether a transaction without a reply took effect. While it may still arrive the same
+// transaction is sent again: its conditions let only one of the two succeed.
+func (l *Ledger) settle(ctx context.Context, now []*request, t table.Transaction) []*request {
+	ctx, cancel := context.WithTimeout(ctx, settleWithin)
+	defer cancel()
+	for {
+		err := l.limiter.Wait(ctx)
+		if err != nil {
+			fail(now, fmt.Errorf("%w: %w", ErrUnknown, err))
+			return nil
+		}
+		version, err := l.commit(ctx, t)
+		if err == nil {
+			succeed(now, version)
+			return nil
+		}
+		if errors.Is(err, table.ErrConflict) {
+			again, err := l.sort(ctx, now)
+			if err == nil {
+				return again
+			}
+		}
+		select {
+		case <-time.After(settleInterval):
+		case <-ctx.Done():
+			fail(now, fmt.Errorf("%w: %w", ErrUnknown, err))
+			return nil
+		}
+	}
+}
+
+// sort reads the records of a transaction whose conditions did not all hold. It answers the requests that
+// were written and those that can't be, and returns the rest.
+func (l *Ledger) sort(ctx context.Context, now []*request) ([]*request, error) {
+	keys := make([]string, len(now))
+	for i, q := range now {
+		keys[i] = q.record.key()
+	}
+	found, err := l.get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	var again []*request
+	for _, q := range now {
+		present := found[q.record.key()]
+		switch {
+		case present.Write == q.record.Write:
+			q.done <- outcome{record: present}
+		case present.version == q.version:
+			again = append(again, q)
+		case q.version == 0:
+			q.done <- outcome{record: present, err: ErrExists}
+		case present.version == 0:
+			q.done <- outcome{err: ErrAbsent}
+		default:
+			q.done <- outcome{record: present, err: ErrConflict}
+		}
+	}
+	return again, nil
+}
+
+func (l *Ledger) commit(ctx context.Context, t table.Transaction) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	l.commits.Inc(1)
+	return l.table.Commit(ctx, t)
+}
+
+func transaction(now []*request) (table.Transaction, error) {
+	var t table.Transaction
+	for _, q := range now {
+		value, err := json.Marshal(q.record)
+		if err != nil {
+			return t, fmt.Errorf("claim: %s: %w", q.record.key(), err)
+		}
+		t.Conditions = append(t.Conditions, table.Condition{Key: q.record.key(), Version: q.version})
+		t.Writes = append(t.Writes, table.Write{Key: q.record.key(), Value: value})
+		t.Writes = append(t.Writes, indexWrites(q.old, q.record)...)
+	}
+	return t, nil
+}
+
+// indexWrites returns the changes of the indexes when one record takes the place of another.
+func indexWrites(old, next Record) []table.Write {
+	var writes []table.Write
+	if old.version == 0 || old.bucketKey() != next.bucketKey() {
+		writes = append(writes, table.Write{Key: next.bucketKey(), Value: []byte("{}")})
+		if old.version != 0 {
+			writes = append(writes, table.Write{Key: old.bucketKey(), Delete: true})
+		}
+	}
+	before, after := "", next.ownerKey()
+	if old.version != 0 {
+		before = old.ownerKey()
+	}
+	if before != after && before != "" {
+		writes = append(writes, table.Write{Key: before, Delete: true})
+	}
+	if before != after && after != "" {
+		writes = append(writes, table.Write{Key: after, Value: []byte("{}")})
+	}
+	return writes
+}
+
+func succeed(now []*request, version uint64) {
+	for _, q := range now {
+		q.record.version = version
+		q.done <- outcome{record: q.record}
+	}
+}
+
+func fail(now []*request, err error) {
+	for _, q := range now {
+		q.done <- outcome{err: err}
+	}
+}
--- /dev/null
+++ b/internal/state/member/registrar.go
@@ -0,0 +1,225 @@
+// Package member registers this entry instance, watches the others and removes those that are lost.
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
+)
+
+const (
+	probeInterval  = 500 * time.Millisecond
+	probeTimeout   = time.Second
+	rosterInterval = 2 * time.Second
+	rosterTimeout  = 2 * time.Second
+	removeInterval = time.Second
+
+	// aliveFor is how long after its last answer a member counts as reachable.
+	aliveFor = 2 * time.Second
+	// lostAfter and goneAfter are how long a member must be unreachable before its removal, without
+	// and with its absence from the roster.
+	lostAfter = 30 * time.Second
+	goneAfter = 10 * time.Second
+	// endedAfter is how long a member must be unreachable and absent from the roster before it counts
+	// as ended for good, so that the loss of a majority at once doesn't block edits for ever.
+	endedAfter = 60 * time.Second
+	// A tick later than pausedAfter means that this process was paused: what it measured meanwhile counts for nothing.
+	pausedAfter = 3 * time.Second
+
+	// Attempts to register are spread over jitter so that a recovering store isn't hit by all at once.
+	jitterLeast = 200 * time.Millisecond
+	jitterMost  = 2 * time.Second
+)
+
+// Views is what the Registrar needs of *view.Keeper.
+type Views interface {
+	View() fleet.View
+	Changes() <-chan struct{}
+	Identify(self fleet.EntryID)
+	Edit(ctx context.Context, author string, change view.Change) (uint64, error)
+	Ask(ctx context.Context, m fleet.Member, revision uint64) (fleet.EntryID, uint64, error)
+}
+
+// Roster lists the platform's instances; *roster.Client implements it.
+type Roster interface {
+	List(ctx context.Context) ([]roster.Listing, error)
+}
+
+// Registrar keeps this entry instance registered under a new identifier per incarnation.
+type Registrar struct {
+	name    string
+	views   Views
+	roster  Roster
+	log     *zap.Logger
+	removed func(ctx context.Context, next fleet.EntryID)
+	self    atomic.Pointer[fleet.Member]
+	leaving atomic.Bool
+
+	mu       sync.Mutex
+	contacts map[fleet.EntryID]*contact
+	lastTick time.Time
+}
+
+// Option changes a Registrar.
+type Option func(*Registrar)
+
+// WithLog sets the logger.
+func WithLog(l *zap.Logger) Option { return func(r *Registrar) { r.log = l } }
+
+// WithRemoved sets the function that is called when this entry instance finds that it was removed. It
+// returns once all work of the old incarnation is dropped; then the next incarnation is registered.
+func WithRemoved(f func(ctx context.Context, next fleet.EntryID)) Option {
+	return func(r *Registrar) { r.removed = f }
+}
+
+// NewID returns the identifier of a new incarnation of an entry instance.
+func NewID(name string) fleet.EntryID {
+	return fleet.EntryID(name + "." + strings.ToLower(ulid.Make().String()))
+}
+
+// New returns a Registrar for a member, whose ID comes from NewID(name).
+func New(name string, m fleet.Member, v Views, l Roster, options ...Option) *Registrar {
+	r := &Registrar{
+		name: name, views: v, roster: l, log: zap.NewNop(),
+		removed:  func(context.Context, fleet.EntryID) {},
+		contacts: map[fleet.EntryID]*contact{},
+	}
+	for _, o := range options {
+		o(r)
+	}
+	r.self.Store(&m)
+	v.Identify(m.ID)
+	return r
+}
+
+// Self returns this entry instance as it is or will be registered.
+func (r *Registrar) Self() fleet.Member { return *r.self.Load() }
+
+// Registered reports whether the view holds this incarnation.
+func (r *Registrar) Registered() bool {
+	_, ok := r.views.View().Member(r.Self().ID)
+	return ok
+}
+
+// Run keeps this entry instance registered and watches the others until the context ends.
+func (r *Registrar) Run(ctx context.Context) {
+	var g sync.WaitGroup
+	g.Go(func() { r.stayRegistered(ctx) })
+	g.Go(func() { every(ctx, probeInterval, r.probe) })
+	g.Go(func() { every(ctx, rosterInterval, r.readRoster) })
+	g.Go(func() { every(ctx, removeInterval, r.removeLost) })
+	g.Wait()
+}
+
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		f(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *Registrar) stayRegistered(ctx context.Context) {
+	for ctx.Err() == nil && !r.leaving.Load() {
+		if err := r.register(ctx); err != nil {
+			r.log.Warn("member: registration failed", zap.Error(err))
+			pause(ctx)
+			continue
+		}
+		r.log.Info("member: registered", zap.String("id", string(r.Self().ID)))
+		if !r.awaitRemoval(ctx) || r.leaving.Load() {
+			return
+		}
+		next := r.Self()
+		r.log.Warn("member: this entry instance was removed", zap.String("id", string(next.ID)))
+		next.ID = NewID(r.name)
+		r.removed(ctx, next.ID)
+		r.self.Store(&next)
+		r.views.Identify(next.ID)
+		pause(ctx)
+	}
+}
+
+func (r *Registrar) register(ctx context.Context) error {
+	self := r.Self()
+	_, err := r.views.Edit(ctx, "entry "+r.name, func(v fleet.View) ([]fleet.Item, error) {
+		if _, ok := v.Member(self.ID); ok {
+			return nil, nil
+		}
+		return []fleet.Item{view.MemberItem(self)}, nil
+	})
+	return written(err)
+}
+
+// written drops the error of an edit that is stored but not yet confirmed.
+func written(err error) error {
+	var e *reject.Error
+	if errors.As(err, &e) && e.Kind == reject.KindUnconfirmed {
+		return nil
+	}
+	return err
+}
+
+// awaitRemoval returns true once the view no longer holds this incarnation, false if the context ended.
+func (r *Registrar) awaitRemoval(ctx context.Context) bool {
+	for {
+		changed := r.views.Changes()
+		if !r.Registered() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Leave removes this entry instance from the members for good.
+func (r *Registrar) Leave(ctx context.Context) error {
+	r.leaving.Store(true)
+	for {
+		err := r.remove(ctx, r.Self().ID)
+		if err == nil {
+			return nil
+		}
+		r.log.Warn("member: leaving failed", zap.Error(err))
+		if pause(ctx); ctx.Err() != nil {
+			return fmt.Errorf("member: leave: %w", errors.Join(err, context.Cause(ctx)))
+		}
+	}
+}
+
+func (r *Registrar) remove(ctx context.Context, id fleet.EntryID) error {
+	_, err := r.views.Edit(ctx, "entry "+r.name, func(v fleet.View) ([]fleet.Item, error) {
+		if _, ok := v.Member(id); !ok {
+			return nil, nil
+		}
+		return []fleet.Item{view.MemberRemoval(id)}, nil
+	})
+	return written(err)
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-time.After(jitterLeast + rand.N(jitterMost-jitterLeast)):
+	case <-ctx.Done():
+	}
+}
