--- /dev/null
+++ b/internal/serve/caller/caller.go
@@ -0,0 +1,130 @@
+// Package caller is the HTTP interface for callers: it authenticates requests, turns them into jobs and writes
+// answers and problem documents.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/justinas/alice"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
+)
+
+// Tasks runs jobs and knows tasks.
+type Tasks interface {
+	Submit(ctx context.Context, j runner.Job) (runner.Answer, error)
+	SubmitAsync(ctx context.Context, j runner.Job) (string, error)
+	Get(ctx context.Context, t fleet.TeamName, id string, wait time.Duration) (runner.Progress, error)
+	Cancel(t fleet.TeamName, id string) error
+}
+
+// Views gives the current view and says whether it is confirmed.
+type Views interface {
+	View() fleet.View
+	Fresh() error
+}
+
+// Observation is one answered submission.
+type Observation struct {
+	Queue fleet.QueueName
+	Team  fleet.TeamName
+	// Kind is the reason of a refusal, "" for a complete answer.
+	Kind reject.Kind
+	// Accepted marks an asynchronous job that was only recorded.
+	Accepted bool
+	Took     time.Duration
+}
+
+// Observer is told of every answered submission.
+type Observer interface {
+	Observe(o Observation)
+}
+
+const (
+	defaultBody        = 8 << 20
+	defaultBodyTimeout = 30 * time.Second
+	answerTimeout      = 30 * time.Second
+	maxWait            = 20 * time.Second
+)
+
+// API is the HTTP interface for callers.
+type API struct {
+	tasks       Tasks
+	views       Views
+	keys        *keyring
+	log         *zap.Logger
+	registry    metrics.Registry
+	observer    Observer
+	bodyTimeout time.Duration
+}
+
+// Option changes an API.
+type Option func(*API)
+
+// WithLog sets the log; the default discards everything.
+func WithLog(l *zap.Logger) Option { return func(a *API) { a.log = l } }
+
+// WithRegistry sets where request metrics are registered.
+func WithRegistry(r metrics.Registry) Option { return func(a *API) { a.registry = r } }
+
+// WithObserver sets who is told of answered submissions.
+func WithObserver(o Observer) Option { return func(a *API) { a.observer = o } }
+
+// WithBodyTimeout sets how long a caller may take to send a body; the default is 30 s.
+func WithBodyTimeout(d time.Duration) Option { return func(a *API) { a.bodyTimeout = d } }
+
+type ignoreObservations struct{}
+
+func (ignoreObservations) Observe(Observation) {}
+
+// New returns the HTTP interface for callers.
+func New(t Tasks, v Views, options ...Option) *API {
+	a := &API{tasks: t, views: v, keys: &keyring{}, log: zap.NewNop(), registry: metrics.NewRegistry(),
+		observer: ignoreObservations{}, bodyTimeout: defaultBodyTimeout}
+	for _, o := range options {
+		o(a)
+	}
+	return a
+}
+
+// Handler returns the handler of "/v1/queues/" and "/v1/tasks/".
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/queues/{queue}/tasks", a.submit)
+	mux.HandleFunc("GET /v1/tasks/{id}", a.poll)
+	mux.HandleFunc("DELETE /v1/tasks/{id}", a.cancel)
+	return alice.New(a.measure, a.recover).Then(mux)
+}
+
+func (a *API) measure(next http.Handler) http.Handler {
+	timer := metrics.GetOrRegisterTimer("caller.requests", a.registry)
+	inflight := metrics.GetOrRegisterCounter("caller.inflight", a.registry)
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		began := time.Now()
+		inflight.Inc(1)
+		defer func() {
+			inflight.Dec(1)
+			timer.UpdateSince(began)
+		}()
+		next.ServeHTTP(w, q)
+	})
+}
+
+// recover turns a panic into a problem document; what became of the work is then not known.
+func (a *API) recover(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		defer func() {
+			if p := recover(); p != nil {
+				a.log.Error("request panicked", zap.Any("panic", p), zap.Stack("stack"))
+				WriteProblem(w, reject.New(reject.KindInternal, reject.WorkUnknown, "internal error"))
+			}
+		}()
+		next.ServeHTTP(w, q)
+	})
+}
--- /dev/null
+++ b/internal/serve/caller/submit.go
@@ -0,0 +1,147 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
+)
+
+// submit answers POST /v1/queues/{queue}/tasks.
+func (a *API) submit(w http.ResponseWriter, q *http.Request) {
+	began := time.Now()
+	o := Observation{Queue: fleet.QueueName(q.PathValue("queue"))}
+	err := a.trySubmit(w, q, &o)
+	if err != nil {
+		e := asRejection(err)
+		o.Kind = e.Kind
+		a.logFault(e)
+		metrics.GetOrRegisterCounter("caller.refused."+string(e.Kind), a.registry).Inc(1)
+		a.limitWrite(w)
+		WriteProblem(w, e)
+	} else {
+		metrics.GetOrRegisterCounter("caller.answered", a.registry).Inc(1)
+	}
+	o.Took = time.Since(began)
+	a.observer.Observe(o)
+}
+
+func (a *API) trySubmit(w http.ResponseWriter, q *http.Request, o *Observation) error {
+	if err := a.views.Fresh(); err != nil {
+		return err
+	}
+	v := a.views.View()
+	queue, team, err := a.authorize(q, v)
+	if err != nil {
+		return err
+	}
+	o.Team = queue.Team
+	j, err := parseJob(q)
+	if err != nil {
+		return err
+	}
+	j.Team = team
+	if j.Input, err = a.readBody(w, q, v); err != nil {
+		return err
+	}
+	if team != "" && wantsAsync(q) {
+		return a.submitAsync(w, q, j, o)
+	}
+	answer, err := a.tasks.Submit(q.Context(), j)
+	if err != nil {
+		return err
+	}
+	a.limitWrite(w)
+	writeAnswer(w, answer)
+	return nil
+}
+
+func (a *API) submitAsync(w http.ResponseWriter, q *http.Request, j runner.Job, o *Observation) error {
+	id, err := a.tasks.SubmitAsync(q.Context(), j)
+	if err != nil {
+		return err
+	}
+	o.Accepted = true
+	h := w.Header()
+	h.Set("Location", "/v1/tasks/"+id)
+	h.Set("Task-Id", id)
+	h.Set("Preference-Applied", "respond-async")
+	h.Set("Content-Length", "0")
+	w.WriteHeader(http.StatusAccepted)
+	return nil
+}
+
+// authorize returns the queue and the team whose key accompanied the request, "" on an open queue. Whether a queue
+// exists is told only to holders of a key.
+func (a *API) authorize(q *http.Request, v fleet.View) (fleet.QueueSection, fleet.TeamName, error) {
+	name := fleet.QueueName(q.PathValue("queue"))
+	queue, known := v.Document().Queues[name]
+	if known && queue.Open {
+		return queue, "", nil
+	}
+	team, err := a.keys.authenticate(q, v)
+	switch {
+	case err != nil:
+		return queue, "", err
+	case !known:
+		return queue, "", reject.New(reject.KindQueue, reject.WorkNotRun, "unknown queue %q", string(name))
+	case team != queue.Team:
+		return queue, "", reject.New(reject.KindForbidden, reject.WorkNotRun, "the key's team has no queue %q", string(name))
+	}
+	return queue, team, nil
+}
+
+// readBody reads the whole body within the document's limit and the body timeout. The read deadline is removed
+// afterwards, because the server watches the connection for the caller's departure.
+func (a *API) readBody(w http.ResponseWriter, q *http.Request, v fleet.View) ([]byte, error) {
+	limit := v.Document().Limits.Body
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if q.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	c := http.NewResponseController(w)
+	// Writers of tests don't support deadlines.
+	_ = c.SetReadDeadline(time.Now().Add(a.bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	_ = c.SetReadDeadline(time.Time{})
+	var size *http.MaxBytesError
+	switch {
+	case errors.As(err, &size):
+		return nil, tooLarge(limit)
+	case err != nil:
+		return nil, reject.New(reject.KindRequest, reject.WorkNotRun, "the body did not arrive completely").WithCause(err)
+	}
+	return body, nil
+}
+
+func tooLarge(limit int64) error {
+	return reject.New(reject.KindBody, reject.WorkNotRun, "the body is larger than %d bytes", limit)
+}
+
+// limitWrite bounds how long a caller may take to read its answer.
+func (a *API) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
+}
+
+func writeAnswer(w http.ResponseWriter, answer runner.Answer) {
+	sum := sha256.Sum256(answer.Body)
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	h.Set("Repr-Digest", "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
+	h.Set("Task-Id", answer.ID)
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/internal/serve/caller/task.go
@@ -0,0 +1,72 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
+)
+
+// pending is the body of the answer to a poll of a task that has not ended.
+type pending struct {
+	ID    string       `json:"id"`
+	State runner.Phase `json:"state"`
+}
+
+// poll answers GET /v1/tasks/{id}: the result, the rejection, or 202 while the task waits or runs.
+func (a *API) poll(w http.ResponseWriter, q *http.Request) {
+	team, err := a.identify(q)
+	if err != nil {
+		a.refuse(w, err)
+		return
+	}
+	p, err := a.tasks.Get(q.Context(), team, q.PathValue("id"), preferredWait(q))
+	a.limitWrite(w)
+	switch {
+	case err != nil:
+		a.refuse(w, err)
+	case p.Phase == runner.PhaseDone:
+		writeAnswer(w, p.Answer)
+	case p.Phase == runner.PhaseRejected:
+		a.refuse(w, p.Rejection)
+	default:
+		writePending(w, p)
+	}
+}
+
+func writePending(w http.ResponseWriter, p runner.Progress) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Retry-After", "1")
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusAccepted)
+	_ = json.NewEncoder(w).Encode(pending{ID: p.ID, State: p.Phase})
+}
+
+// cancel answers DELETE /v1/tasks/{id}.
+func (a *API) cancel(w http.ResponseWriter, q *http.Request) {
+	team, err := a.identify(q)
+	if err == nil {
+		err = a.tasks.Cancel(team, q.PathValue("id"))
+	}
+	if err != nil {
+		a.refuse(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// identify returns the team of the key; tasks are looked up under it, so that no team reaches another's task.
+func (a *API) identify(q *http.Request) (fleet.TeamName, error) {
+	if err := a.views.Fresh(); err != nil {
+		return "", err
+	}
+	return a.keys.authenticate(q, a.views.View())
+}
+
+func (a *API) refuse(w http.ResponseWriter, err error) {
+	e := asRejection(err)
+	a.logFault(e)
+	WriteProblem(w, e)
+}
--- /dev/null
+++ b/internal/serve/node/node.go
@@ -0,0 +1,247 @@
+// Package node assembles an entry instance from its settings, serves callers, operators and peers, and shuts down
+// gracefully.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/object"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
+	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
+	"github.com/yuccahaven/yuccahaven/internal/state/claim"
+	"github.com/yuccahaven/yuccahaven/internal/state/grant"
+	"github.com/yuccahaven/yuccahaven/internal/state/member"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+var errStarting = errors.New("node: starting")
+
+// Node is one entry instance.
+type Node struct {
+	settings  *Settings
+	log       *zap.Logger
+	registry  metrics.Registry
+	httpAt    net.Listener
+	peerAt    net.Listener
+	callerTLS *certificates
+	peerTLS   *certificates
+
+	peers     *peer.Client
+	keeper    *view.Keeper
+	registrar *member.Registrar
+	book      *grant.Book
+	ledger    *claim.Ledger
+	runner    *runner.Runner
+	scheduler *scheduler
+	watch     *watch
+	stopping  atomic.Bool
+}
+
+// New listens on the addresses of checked settings and assembles the parts; Run must be called next.
+func New(s *Settings, log *zap.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, registry: metrics.NewRegistry()}
+	if err := n.loadCertificates(); err != nil {
+		return nil, err
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.assemble()
+	return n, nil
+}
+
+// Address returns the address that callers and operators reach this process at.
+func (n *Node) Address() string { return n.httpAt.Addr().String() }
+
+func (n *Node) loadCertificates() error {
+	var err error
+	if n.settings.Certificate != "" {
+		if n.callerTLS, err = newCertificates(n.settings.Certificate, n.settings.Key, ""); err != nil {
+			return err
+		}
+	}
+	if n.settings.PeerCertificate != "" {
+		n.peerTLS, err = newCertificates(n.settings.PeerCertificate, n.settings.PeerKey, n.settings.PeerAuthority)
+	}
+	return err
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.httpAt, err = net.Listen("tcp", n.settings.Listen); err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	if n.peerAt, err = net.Listen("tcp", n.settings.PeerListen); err != nil {
+		return errors.Join(fmt.Errorf("node: %w", err), n.httpAt.Close())
+	}
+	return nil
+}
+
+func (n *Node) assemble() {
+	s := n.settings
+	t, o, l, w := table.NewClient(s.Table), object.NewClient(s.Object), roster.NewClient(s.Roster), worker.NewClient()
+	n.peers = peer.NewClient(s.PeerToken, n.peerOptions()...)
+	self := member.NewID(s.Name)
+	n.keeper = view.New(self, t, n.peers, decode, view.WithLog(n.part("view")), view.WithSeeds(n.seeds(l)))
+	n.registrar = member.New(s.Name, n.member(self), n.keeper, l, member.WithLog(n.part("member")),
+		member.WithRemoved(n.removed))
+	n.book = grant.New(self, n.keeper, t, n.peers, grant.WithLog(n.part("grant")), grant.WithMetrics(n.registry))
+	n.ledger = claim.New(func() fleet.EntryID { return n.registrar.Self().ID }, t, o, claim.WithLog(n.part("claim")),
+		claim.WithMetrics(n.registry))
+	n.watch = &watch{roster: l, views: n.keeper, registrar: n.registrar, log: n.part("roster")}
+	n.runner = runner.New(runner.Parts{Views: n.keeper, Workers: w, Grants: n.book, Records: n.ledger, Objects: o,
+		Members: n.registrar, Roster: n.watch, Owners: owners{n.peers}, Log: n.part("runner"), Metrics: n.registry})
+	n.scheduler = &scheduler{views: n.keeper, prober: w, source: n.runner, peers: n.peers}
+	n.runner.Attach(n.scheduler)
+}
+
+// part returns the log of a part, whose lines begin with its name.
+func (n *Node) part(name string) *zap.Logger { return n.log.Named(name) }
+
+func (n *Node) member(self fleet.EntryID) fleet.Member {
+	return fleet.Member{ID: self, Zone: fleet.AvailabilityZone(n.settings.Zone),
+		Address: firstOf(n.settings.PeerAdvertise, n.peerAt.Addr().String()),
+		Caller:  firstOf(n.settings.Advertise, n.httpAt.Addr().String())}
+}
+
+func firstOf(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func (n *Node) peerOptions() []peer.ClientOption {
+	if n.peerTLS == nil {
+		return nil
+	}
+	return []peer.ClientOption{peer.WithClientTLS(n.peerTLS.forPeerClient)}
+}
+
+// seeds returns where to ask for the view when the store is down at the start.
+func (n *Node) seeds(l *roster.Client) func(context.Context) ([]string, error) {
+	return func(ctx context.Context) ([]string, error) {
+		listings, err := l.List(ctx)
+		var addresses []string
+		for _, i := range listings {
+			if i.Kind == roster.Entry && i.State == roster.Live {
+				addresses = append(addresses, i.Address)
+			}
+		}
+		return addresses, err
+	}
+}
+
+// removed drops the work of an incarnation that was removed from the members and prepares the next one. It waits
+// until the tasks have ended or run out their leases, because their ceiling units count as returned after that.
+func (n *Node) removed(ctx context.Context, next fleet.EntryID) {
+	n.log.Warn("node: removed from the members, dropping all work")
+	n.runner.Drop()
+	n.runner.AwaitEnd(ctx)
+	n.book.Reset(next)
+	n.scheduler.restart(ctx, next)
+}
+
+// owners asks other entry instances about tasks.
+type owners struct{ peers *peer.Client }
+
+// Task implements runner.Owners.
+func (o owners) Task(ctx context.Context, address string, q peer.TaskRequest) (peer.TaskReply, error) {
+	return peer.Call(ctx, o.peers, address, peer.MethodTask, q)
+}
+
+// Run serves until the context ends and then shuts down gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	var parts sync.WaitGroup
+	n.start(life, &parts)
+	server := n.server(life)
+	failed := make(chan error, 1)
+	go func() { failed <- n.serve(server) }()
+	n.log.Info("node: serving", zap.String("address", n.Address()), zap.String("peers", n.peerAt.Addr().String()))
+	if n.settings.Document != "" {
+		parts.Go(func() { n.seed(life) })
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return fmt.Errorf("node: %w", err)
+	}
+	n.shutDown(server)
+	end()
+	parts.Wait()
+	return n.peers.Close()
+}
+
+func (n *Node) seed(ctx context.Context) {
+	if err := seed(ctx, n.keeper, n.settings.Document); err != nil && ctx.Err() == nil {
+		n.log.Error("node: document not written", zap.Error(err))
+	}
+}
+
+func (n *Node) start(ctx context.Context, parts *sync.WaitGroup) {
+	n.scheduler.restart(ctx, n.registrar.Self().ID)
+	for _, run := range []func(context.Context){n.keeper.Run, n.registrar.Run, n.book.Run, n.ledger.Run, n.runner.Run,
+		n.watch.run, n.sweepRecords, n.servePeers} {
+		parts.Go(func() { run(ctx) })
+	}
+}
+
+// sweepRecords deletes old task records; those of entry instances that are gone fall to the first in rank.
+func (n *Node) sweepRecords(ctx context.Context) {
+	t := time.NewTicker(claim.SweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		live := func(id fleet.EntryID) bool { _, ok := n.keeper.View().Member(id); return ok }
+		responsible := func(fleet.EntryID) bool { return n.watch.onDuty() }
+		if err := n.ledger.Sweep(ctx, live, responsible); err != nil {
+			n.log.Warn("claim: old records not deleted", zap.Error(err))
+		}
+	}
+}
+
+func (n *Node) servePeers(ctx context.Context) {
+	s := peer.NewServer(n.settings.PeerToken)
+	peer.Handle(s, peer.MethodSync, n.keeper.HandleSync)
+	peer.Handle(s, peer.MethodPush, n.keeper.HandlePush)
+	peer.Handle(s, peer.MethodNudge, n.book.HandleNudge)
+	peer.Handle(s, peer.MethodPoll, n.scheduler.poll)
+	peer.Handle(s, peer.MethodTask, n.runner.HandleTask)
+	n.handleStatus(s)
+	l := n.peerAt
+	if n.peerTLS != nil {
+		l = tls.NewListener(l, n.peerTLS.forPeerServer())
+	}
+	if err := s.Serve(ctx, l); err != nil && ctx.Err() == nil {
+		n.log.Error("node: peer server ended", zap.Error(err))
+	}
+}
+
+func (n *Node) serve(s *http.Server) error {
+	if n.callerTLS != nil {
+		s.TLSConfig = n.callerTLS.forCallers()
+		return s.ServeTLS(n.httpAt, "", "")
+	}
+	return s.Serve(n.httpAt)
+}
--- /dev/null
+++ b/internal/serve/node/seed.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
+)
+
+// errFindings wraps the findings of a document.
+var errFindings = errors.New("node: the document has findings")
+
+// loadSections reads a document file.
+func loadSections(file string) (fleet.Document, []fleet.Section, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fleet.Document{}, nil, fmt.Errorf("node: document: %w", err)
+	}
+	d, sections, findings := spec.DecodeLong(string(text))
+	return d, sections, findingsError(findings)
+}
+
+func findingsError(findings []spec.Finding) error {
+	if len(findings) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(findings))
+	for _, f := range findings {
+		lines = append(lines, f.String())
+	}
+	return fmt.Errorf("%w:\n%s", errFindings, strings.Join(lines, "\n"))
+}
+
+// decode is the view's decoder.
+func decode(sections []fleet.Section) (fleet.Document, error) {
+	d, findings := spec.Decode(sections)
+	return d, findingsError(findings)
+}
+
+// seed writes a document to an empty table; a table with sections is left as it is.
+func seed(ctx context.Context, k *view.Keeper, file string) error {
+	d, sections, err := loadSections(file)
+	if err != nil {
+		return err
+	}
+	for {
+		if err := k.Await(ctx); err != nil {
+			return err
+		}
+		_, err := k.Edit(ctx, "seed", func(v fleet.View) ([]fleet.Item, error) {
+			if len(v.Sections()) > 0 {
+				return nil, nil
+			}
+			return seedItems(d, sections), nil
+		})
+		if err == nil || len(k.View().Sections()) > 0 || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(seedPause):
+		}
+	}
+}
+
+const seedPause = 500 * time.Millisecond
+
+func seedItems(d fleet.Document, sections []fleet.Section) []fleet.Item {
+	var items []fleet.Item
+	for _, s := range sections {
+		items = append(items, view.SectionItem(s))
+	}
+	for z, s := range d.Zones {
+		items = append(items, view.ZoneItem(z, fleet.ZoneStatus{State: s.State}))
+	}
+	return items
+}
--- /dev/null
+++ b/internal/serve/node/settings.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+// Settings are the settings of one entry instance. All values are texts until Check has accepted them, so that every
+// fault is reported at once.
+type Settings struct {
+	Name, Zone                 string
+	Listen, PeerListen         string
+	Advertise, PeerAdvertise   string
+	Table, Object, Roster      string
+	PeerToken, AdminToken      string
+	Document                   string
+	Certificate, Key           string
+	PeerCertificate, PeerKey   string
+	PeerAuthority              string
+	BodyTimeout, BalancerPause string
+	LogLevel                   string
+
+	places      map[*string]place
+	bodyTimeout time.Duration
+	pause       time.Duration
+	level       zapcore.Level
+}
+
+// place is where a setting's value comes from.
+type place struct {
+	flag, variable string
+	byFlag         bool
+}
+
+func (p place) String() string {
+	if !p.byFlag && os.Getenv(p.variable) != "" {
+		return p.variable
+	}
+	return "--" + p.flag
+}
+
+// Prefix starts the environment variable of every setting.
+const Prefix = "YUCCAHAVEN_"
+
+// Flags declares every setting as a flag with an environment variable on a command.
+func (s *Settings) Flags(c *kingpin.CmdClause) {
+	s.places = map[*string]place{}
+	s.flag(c, &s.Name, "name", "", "name of this entry instance, as the platform lists it")
+	s.flag(c, &s.Zone, "zone", "", "availability zone of this entry instance")
+	s.flag(c, &s.Listen, "listen", "127.0.0.1:8080", "address for callers and operators")
+	s.flag(c, &s.PeerListen, "peer-listen", "127.0.0.1:8081", "address for other entry instances")
+	s.flag(c, &s.Advertise, "advertise", "", "address under which callers reach this instance; default: the one listened on")
+	s.flag(c, &s.PeerAdvertise, "peer-advertise", "", "address under which other entry instances reach this one; default: the one listened on")
+	s.flag(c, &s.Table, "table", "", "URL of the platform's table service")
+	s.flag(c, &s.Object, "object", "", "URL of the platform's object store")
+	s.flag(c, &s.Roster, "roster", "", "URL of the platform's list of instances")
+	s.flag(c, &s.PeerToken, "peer-token", "", "secret shared by the entry instances")
+	s.flag(c, &s.AdminToken, "admin-token", "", "credential of the operators; without it only keys with the admin role are accepted")
+	s.flag(c, &s.Document, "document", "", "YAML file of sections that is written to an empty table")
+	s.flag(c, &s.Certificate, "cert", "", "certificate file for callers and operators; without it HTTP is not encrypted")
+	s.flag(c, &s.Key, "cert-key", "", "file of the certificate's key")
+	s.flag(c, &s.PeerCertificate, "peer-cert", "", "certificate file towards other entry instances")
+	s.flag(c, &s.PeerKey, "peer-cert-key", "", "file of the key of --peer-cert")
+	s.flag(c, &s.PeerAuthority, "peer-ca", "", "file of the authority that signs the entry instances' certificates")
+	s.flag(c, &s.BodyTimeout, "body-timeout", "30s", "time in which a caller must send its request body")
+	s.flag(c, &s.BalancerPause, "balancer-pause", "2s", "time between the end of readiness and the end of acceptance at shutdown")
+	s.flag(c, &s.LogLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
+}
+
+func (s *Settings) flag(c *kingpin.CmdClause, v *string, name, absent, help string) {
+	variable := Prefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	p := place{flag: name, variable: variable}
+	c.Flag(name, help).Envar(variable).Default(absent).IsSetByUser(&p.byFlag).StringVar(v)
+	s.places[v] = p
+}
+
+// Fault is one wrong setting with the flag or environment variable that holds it.
+type Fault struct {
+	Place, Message string
+}
+
+// Faults are all wrong settings.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, x := range f {
+		lines = append(lines, x.Place+": "+x.Message)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Check checks all settings together and returns Faults if any is wrong.
+func (s *Settings) Check() error {
+	var faults Faults
+	add := func(v *string, format string, args ...any) {
+		faults = append(faults, Fault{Place: s.placeOf(v), Message: fmt.Sprintf(format, args...)})
+	}
+	s.checkNames(add)
+	s.checkAddresses(add)
+	s.checkFiles(add)
+	s.checkValues(add)
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+func (s *Settings) placeOf(v *string) string {
+	if p, ok := s.places[v]; ok {
+		return p.String()
+	}
+	return "settings"
+}
+
+type adder func(v *string, format string, args ...any)
+
+// maxEntryName leaves room for the incarnation in an entry instance's identifier.
+const maxEntryName = 30
+
+func (s *Settings) checkNames(add adder) {
+	if err := fleet.CheckName(s.Name); err != nil || len(s.Name) > maxEntryName {
+		add(&s.Name, "%q is not a name of at most %d letters, digits, '-' and '.'", s.Name, maxEntryName)
+	}
+	if err := fleet.CheckName(s.Zone); err != nil {
+		add(&s.Zone, "%q is not a name of an availability zone", s.Zone)
+	}
+	if s.PeerToken == "" {
+		add(&s.PeerToken, "is required")
+	}
+}
+
+func (s *Settings) checkAddresses(add adder) {
+	for _, v := range []*string{&s.Listen, &s.PeerListen} {
+		if _, _, err := net.SplitHostPort(*v); err != nil {
+			add(v, "%q is not host:port", *v)
+		}
+	}
+	for _, v := range []*string{&s.Advertise, &s.PeerAdvertise} {
+		if host, _, err := net.SplitHostPort(*v); *v != "" && (err != nil || host == "") {
+			add(v, "%q is not host:port", *v)
+		}
+	}
+	for _, v := range []*string{&s.Table, &s.Object, &s.Roster} {
+		if u, err := url.Parse(*v); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			add(v, "%q is not an HTTP URL", *v)
+		}
+	}
+}
+
+func (s *Settings) checkFiles(add adder) {
+	for _, v := range []*string{&s.Document, &s.Certificate, &s.Key, &s.PeerCertificate, &s.PeerKey, &s.PeerAuthority} {
+		if *v == "" {
+			continue
+		}
+		if _, err := os.ReadFile(*v); err != nil {
+			add(v, "%v", err)
+		}
+	}
+	if (s.Certificate == "") != (s.Key == "") {
+		add(&s.Certificate, "--cert and --cert-key are given together")
+	}
+	if given := s.PeerCertificate != ""; given != (s.PeerKey != "") || given != (s.PeerAuthority != "") {
+		add(&s.PeerCertificate, "--peer-cert, --peer-cert-key and --peer-ca are given together")
+	}
+}
+
+func (s *Settings) checkValues(add adder) {
+	var err error
+	if s.bodyTimeout, err = time.ParseDuration(s.BodyTimeout); err != nil || s.bodyTimeout <= 0 {
+		add(&s.BodyTimeout, "%q is not a duration above 0", s.BodyTimeout)
+	}
+	if s.pause, err = time.ParseDuration(s.BalancerPause); err != nil || s.pause < 0 {
+		add(&s.BalancerPause, "%q is not a duration", s.BalancerPause)
+	}
+	if s.level, err = zapcore.ParseLevel(s.LogLevel); err != nil {
+		add(&s.LogLevel, "%q is not a level", s.LogLevel)
+	}
+}
--- /dev/null
+++ b/internal/serve/runner/adopt.go
@@ -0,0 +1,102 @@
+package runner
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/state/claim"
+)
+
+// adoptAll takes over the asynchronous tasks whose owner is no longer a member.
+func (r *Runner) adoptAll(ctx context.Context) {
+	if r.isStopping() || r.parts.Views.Fresh() != nil {
+		return
+	}
+	v := r.parts.Views.View()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	orphans, err := r.parts.Records.Orphans(ctx, func(id fleet.EntryID) bool {
+		_, ok := v.Member(id)
+		return ok
+	})
+	if err != nil {
+		r.log.Info("orphaned tasks not read", errField(err))
+		return
+	}
+	for _, c := range orphans {
+		if c.Async && r.ranksFirst(v, c.ID) {
+			r.adopt(ctx, v, c)
+		}
+	}
+}
+
+// ranksFirst reports whether this instance is the first among the live members for a task, by rendezvous hashing.
+func (r *Runner) ranksFirst(v fleet.View, id string) bool {
+	self := r.parts.Members.Self().ID
+	best, first := uint64(0), fleet.EntryID("")
+	for _, m := range v.Members() {
+		if m.ID != self && !r.parts.Members.Alive(m.ID) {
+			continue
+		}
+		score := xxhash.Sum64String(string(m.ID) + "\x00" + id)
+		if first == "" || cmp.Compare(score, best) > 0 {
+			best, first = score, m.ID
+		}
+	}
+	return first == self
+}
+
+// adopt takes one task over by compare-and-set and goes on with it as a retry would.
+func (r *Runner) adopt(ctx context.Context, v fleet.View, c claim.Record) {
+	if _, ok := r.find(c.Team, c.ID); ok {
+		return
+	}
+	var input []byte
+	if c.Input != "" {
+		var err error
+		if input, err = r.parts.Objects.Get(ctx, c.Input); err != nil {
+			r.log.Info("input of an orphaned task not read", idField(c.ID), errField(err))
+			return
+		}
+	}
+	next := c
+	next.Owner = r.parts.Members.Self().ID
+	written, err := r.parts.Records.Replace(ctx, c, next)
+	if err != nil {
+		r.log.Info("orphaned task not adopted", idField(c.ID), errField(err))
+		return
+	}
+	t := r.revive(v, written, input)
+	if r.register(t) != nil {
+		return
+	}
+	r.stats.adopted.Inc(1)
+	r.arm(t)
+	go r.live(t, following{written})
+}
+
+// revive makes a task from its record.
+func (r *Runner) revive(v fleet.View, c claim.Record, input []byte) *task {
+	q := v.Document().Queues[c.Queue]
+	t := r.newTask(q, Job{Queue: c.Queue, Team: c.Team, Input: input, Key: c.Key, Once: c.Once, Urgent: c.Urgent,
+		Slots: max(1, c.Slots)}, true)
+	t.id, t.team, t.digest, t.record, t.admitted = c.ID, c.Team, c.Digest, c, true
+	// Clocks of different machines are never compared, so the timeout counts anew.
+	t.timeout, t.deadline = c.Timeout, time.Time{}
+	if c.Timeout > 0 {
+		t.deadline = time.Now().Add(c.Timeout)
+	}
+	if c.Worker != "" {
+		t.work = reject.WorkUnknown
+	}
+	if t.pool == "" {
+		// The check before a start rejects a task whose queue was removed; a pool without workers never gets there.
+		t.deadline = time.Now()
+	}
+	return t
+}
--- /dev/null
+++ b/internal/serve/runner/drain.go
@@ -0,0 +1,91 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+)
+
+func (r *Runner) isStopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopping
+}
+
+// Drain accepts no new work and returns once every task has ended. Queued tasks may still start for some time and
+// are then rejected as not run; running ones are bounded by their own deadlines.
+func (r *Runner) Drain(ctx context.Context) error {
+	idle := r.beginDrain()
+	if idle == nil {
+		return nil
+	}
+	queued := time.AfterFunc(drainQueued, func() {
+		for _, t := range r.waitingTasks(true) {
+			t.giveUp(reject.KindStopping, time.Second, "the instance is shutting down")
+		}
+	})
+	defer queued.Stop()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// beginDrain returns a channel that is closed when the last task has ended, nil if there is none.
+func (r *Runner) beginDrain() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+	if len(r.tasks) == 0 {
+		return nil
+	}
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	return r.idle
+}
+
+// Drop gives up on every task, for an instance that was removed from the members and no longer holds grants. The
+// tasks at workers are stopped.
+func (r *Runner) Drop() {
+	r.mu.Lock()
+	ts := make([]*task, 0, len(r.tasks))
+	for _, t := range r.tasks {
+		ts = append(ts, t)
+	}
+	r.mu.Unlock()
+	for _, t := range ts {
+		t.giveUp(reject.KindStale, time.Second, "the instance was removed from the members")
+	}
+}
+
+// Counts returns how many tasks wait and run here.
+func (r *Runner) Counts() (waiting, running int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.tasks {
+		switch t.progress().Phase {
+		case PhaseWaiting:
+			waiting++
+		case PhaseRunning:
+			running++
+		}
+	}
+	return waiting, running
+}
+
+// AwaitEnd waits until every task that Drop gave up on has ended at its worker or run out its lease.
+func (r *Runner) AwaitEnd(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		left := len(r.attempts)
+		r.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
--- /dev/null
+++ b/internal/serve/runner/job.go
@@ -0,0 +1,53 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+)
+
+// Job is one accepted request for work.
+type Job struct {
+	Queue fleet.QueueName
+	// Team is the team whose key accompanied the request, "" on an open queue.
+	Team  fleet.TeamName
+	Input []byte
+	// Key is the caller's idempotency key, "" without one.
+	Key string
+	// Once marks a non-idempotent job: it is started at most once.
+	Once   bool
+	Urgent bool
+	// Slots is the number of worker slots; 0 means the queue's own number.
+	Slots int
+	// Timeout is the time until the answer; 0 means the queue's own limit, which also caps it.
+	Timeout time.Duration
+}
+
+// Answer is the complete result of a task.
+type Answer struct {
+	// ID names the task to its caller.
+	ID   string
+	Body []byte
+	// Digest is the hexadecimal SHA-256 of Body.
+	Digest string
+}
+
+// Phase is how far a task has come.
+type Phase string
+
+// The phases of a task as its caller sees them.
+const (
+	PhaseWaiting  Phase = "waiting"
+	PhaseRunning  Phase = "running"
+	PhaseDone     Phase = "done"
+	PhaseRejected Phase = "rejected"
+)
+
+// Progress is what is known of a task; Answer is set once it is done and Rejection once it was rejected.
+type Progress struct {
+	ID        string
+	Phase     Phase
+	Answer    Answer
+	Rejection *reject.Error
+}
--- /dev/null
+++ b/internal/serve/runner/picture.go
@@ -0,0 +1,63 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// maxOutcomes bounds the outcomes kept for a coordinator that can't be reached.
+const maxOutcomes = 4096
+
+// Picture returns the entry's whole state for one pool: demand, occupied slots, unused permits, and the outcomes
+// since the last call.
+func (r *Runner) Picture(name fleet.PoolName) peer.PollRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.poolLocked(name)
+	q := peer.PollRequest{From: r.parts.Members.Self().ID, Pool: name, Outcomes: r.outcomes[name]}
+	delete(r.outcomes, name)
+	for team := range p.permits {
+		r.dispatch(p, team)
+		for _, h := range p.permits[team] {
+			q.Unused = append(q.Unused, h.permit.ID)
+		}
+	}
+	q.Demand = p.queue.Demand(r.parts.Grants.Free)
+	for _, a := range r.attempts {
+		if a.pool == name {
+			q.Occupied = append(q.Occupied, peer.Occupied{Task: a.id, Worker: a.instance, Team: a.task.team,
+				Slots: a.slots, Urgent: a.task.job.Urgent})
+		}
+	}
+	return q
+}
+
+// Permit takes a permit from a coordinator and hands it to the first waiting task that it fits.
+func (r *Runner) Permit(permit peer.Permit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.poolLocked(permit.Pool)
+	p.permits[permit.Team] = append(p.permits[permit.Team],
+		heldPermit{permit: permit, expires: time.Now().Add(permit.TTL)})
+	r.dispatch(p, permit.Team)
+}
+
+// finish ends an attempt whose task surely holds no slot any more: its unit is released and its outcome reported.
+func (r *Runner) finish(a *attempt, k peer.OutcomeKind, ran time.Duration) {
+	r.mu.Lock()
+	_, held := r.attempts[a.id]
+	delete(r.attempts, a.id)
+	p := a.pool
+	if held && k != "" && len(r.outcomes[p]) < maxOutcomes {
+		r.outcomes[p] = append(r.outcomes[p], peer.Outcome{Worker: a.instance, Queue: a.task.job.Queue,
+			Team: a.task.team, Kind: k, Ran: ran})
+	}
+	poker := r.poker
+	r.mu.Unlock()
+	if held {
+		r.parts.Grants.Release(a.task.team, a.slots)
+	}
+	poker.Poke(p)
+}
--- /dev/null
+++ b/internal/serve/runner/remote.go
@@ -0,0 +1,193 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/state/claim"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// maxReplyAnswer is the largest answer sent from one entry instance to another; larger ones are read from the object
+// store once they are kept there.
+const maxReplyAnswer = 8 << 20
+
+// Get returns what is known of a team's task, and waits up to the given time for its end. It works at any entry
+// instance: the owner is asked, else the record tells.
+func (r *Runner) Get(ctx context.Context, team fleet.TeamName, id string, wait time.Duration) (Progress, error) {
+	if t, ok := r.find(team, id); ok {
+		return t.waitProgress(ctx, wait), nil
+	}
+	c, err := r.findRecord(ctx, team, id)
+	if err != nil {
+		return Progress{}, err
+	}
+	switch c.State {
+	case claim.Done:
+		a, err := r.loadResult(ctx, c)
+		if err != nil {
+			return Progress{}, storeDown(reject.WorkRun, err)
+		}
+		return Progress{ID: id, Phase: PhaseDone, Answer: a}, nil
+	case claim.Failed, claim.Cancelled:
+		e := reject.New(reject.Kind(c.Kind), reject.Work(c.Work), "%s", c.Detail)
+		return Progress{ID: id, Phase: PhaseRejected, Rejection: e}, nil
+	}
+	return r.askOwner(ctx, c, wait), nil
+}
+
+func (r *Runner) findRecord(ctx context.Context, team fleet.TeamName, id string) (claim.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	c, err := r.parts.Records.Find(ctx, team, id)
+	switch {
+	case isAbsent(err):
+		return c, reject.New(reject.KindTask, reject.WorkUnknown, "unknown task %q", id)
+	case err != nil:
+		return c, storeDown(reject.WorkUnknown, err)
+	}
+	return c, nil
+}
+
+// askOwner asks the owner of an open record; if it doesn't answer, the record alone tells how far the task is.
+func (r *Runner) askOwner(ctx context.Context, c claim.Record, wait time.Duration) Progress {
+	known := Progress{ID: c.ID, Phase: PhaseWaiting}
+	if c.Worker != "" {
+		known.Phase = PhaseRunning
+	}
+	reply, err := r.callOwner(ctx, c, peer.TaskGet, wait)
+	if err != nil {
+		r.log.Debug("owner of a task not reached", idField(c.ID), errField(err))
+		return known
+	}
+	switch Phase(reply.State) {
+	case PhaseDone:
+		if digestOf(reply.Answer) == reply.Digest {
+			return Progress{ID: c.ID, Phase: PhaseDone,
+				Answer: Answer{ID: c.ID, Body: reply.Answer, Digest: reply.Digest}}
+		}
+	case PhaseRejected:
+		e := reject.New(reject.Kind(reply.Kind), reject.Work(reply.Work), "%s", reply.Detail)
+		return Progress{ID: c.ID, Phase: PhaseRejected, Rejection: e}
+	case PhaseWaiting, PhaseRunning:
+		known.Phase = Phase(reply.State)
+	}
+	return known
+}
+
+func (r *Runner) callOwner(ctx context.Context, c claim.Record, action peer.TaskAction, wait time.Duration) (peer.TaskReply, error) {
+	m, ok := r.parts.Views.View().Member(c.Owner)
+	if !ok || c.Owner == r.parts.Members.Self().ID {
+		return peer.TaskReply{}, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout+wait)
+	defer cancel()
+	return r.parts.Owners.Task(ctx, m.Address, peer.TaskRequest{From: r.parts.Members.Self().ID, Team: c.Team,
+		Task: fleet.TaskID(c.ID), Action: action, Wait: wait})
+}
+
+var errNoOwner = errors.New("runner: the owner is not a member")
+
+// Cancel gives up on a team's task at whichever entry instance runs it.
+func (r *Runner) Cancel(team fleet.TeamName, id string) error {
+	if t, ok := r.find(team, id); ok {
+		return t.cancel()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	c, err := r.findRecord(ctx, team, id)
+	if err != nil {
+		return err
+	}
+	if c.State != claim.Open {
+		return errEnded()
+	}
+	reply, err := r.callOwner(ctx, c, peer.TaskCancel, 0)
+	switch {
+	case errors.Is(err, errNoOwner):
+		return r.cancelOrphan(ctx, c)
+	case err != nil:
+		return reject.New(reject.KindLost, reject.WorkUnknown, "the owner of the task did not answer").
+			WithRetryAfter(time.Second).WithCause(err)
+	case reply.Kind != "":
+		return reject.New(reject.Kind(reply.Kind), reject.Work(reply.Work), "%s", reply.Detail)
+	}
+	return nil
+}
+
+// cancelOrphan marks the record of a task whose owner is gone; the lease of its attempt lapses.
+func (r *Runner) cancelOrphan(ctx context.Context, c claim.Record) error {
+	next := c
+	next.State, next.Kind, next.Work = claim.Cancelled, string(reject.KindCancelled), string(reject.WorkNotRun)
+	next.Detail = "cancelled by the caller"
+	if c.Worker != "" {
+		next.Work = string(reject.WorkUnknown)
+	}
+	_, err := r.parts.Records.Replace(ctx, c, next)
+	switch {
+	case isTaken(err):
+		return reject.New(reject.KindConflict, reject.WorkUnknown, "the task was changed meanwhile").WithRetryAfter(time.Second)
+	case err != nil:
+		return storeDown(reject.WorkUnknown, err)
+	}
+	return nil
+}
+
+// HandleTask answers another entry instance about a task that runs here.
+func (r *Runner) HandleTask(ctx context.Context, q peer.TaskRequest) (peer.TaskReply, error) {
+	t, ok := r.find(q.Team, string(q.Task))
+	if !ok {
+		e := reject.New(reject.KindTask, reject.WorkUnknown, "the task is not here")
+		return peer.TaskReply{Kind: string(e.Kind), Work: string(e.Work), Detail: e.Detail}, nil
+	}
+	if q.Action == peer.TaskCancel {
+		return replyError(t.cancel()), nil
+	}
+	p := t.waitProgress(ctx, q.Wait)
+	reply := peer.TaskReply{State: string(p.Phase)}
+	switch {
+	case p.Rejection != nil:
+		reply.Kind, reply.Work, reply.Detail = string(p.Rejection.Kind), string(p.Rejection.Work), p.Rejection.Detail
+	case len(p.Answer.Body) > maxReplyAnswer:
+		reply.State = string(PhaseRunning)
+	default:
+		reply.Answer, reply.Digest = p.Answer.Body, p.Answer.Digest
+	}
+	return reply, nil
+}
+
+func replyError(err error) peer.TaskReply {
+	var e *reject.Error
+	if errors.As(err, &e) {
+		return peer.TaskReply{Kind: string(e.Kind), Work: string(e.Work), Detail: e.Detail}
+	}
+	return peer.TaskReply{}
+}
+
+func errEnded() error {
+	return reject.New(reject.KindConflict, reject.WorkRun, "the task has already ended")
+}
+
+// cancel gives up on the task on the caller's request.
+func (t *task) cancel() error {
+	if !t.giveUp(reject.KindCancelled, 0, "cancelled by the caller") {
+		return errEnded()
+	}
+	return nil
+}
+
+// waitProgress returns the task's progress once it has ended, at the latest after the given time.
+func (t *task) waitProgress(ctx context.Context, wait time.Duration) Progress {
+	if wait > 0 {
+		ctx, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		select {
+		case <-t.done:
+		case <-ctx.Done():
+		}
+	}
+	return t.progress()
+}
--- /dev/null
+++ b/internal/serve/runner/stats.go
@@ -0,0 +1,33 @@
+package runner
+
+import (
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+)
+
+// stats are the Runner's counters.
+type stats struct {
+	started   metrics.Counter
+	retried   metrics.Counter
+	evacuated metrics.Counter
+	doubtful  metrics.Counter
+	lapsed    metrics.Counter
+	adopted   metrics.Counter
+}
+
+func newStats(r metrics.Registry) *stats {
+	if r == nil {
+		r = metrics.NewRegistry()
+	}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("runner."+name, r) }
+	return &stats{started: counter("started"), retried: counter("retried"), evacuated: counter("evacuated"),
+		doubtful: counter("doubtful"), lapsed: counter("lapsed"), adopted: counter("adopted")}
+}
+
+func taskField(a *attempt) zap.Field { return zap.String("task", string(a.id)) }
+
+func idField(id string) zap.Field { return zap.String("task", id) }
+
+func addressField(address string) zap.Field { return zap.String("address", address) }
+
+func errField(err error) zap.Field { return zap.Error(err) }
--- /dev/null
+++ b/internal/serve/runner/submit.go
@@ -0,0 +1,239 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/state/claim"
+)
+
+// Submit runs a job and returns its complete answer, or a *reject.Error. When the context ends, the task is given
+// up on; only a non-idempotent task with a key that was sent to a worker goes on, for a retry to fetch its answer.
+func (r *Runner) Submit(ctx context.Context, j Job) (Answer, error) {
+	t, err := r.admit(j, false)
+	if err != nil {
+		return Answer{}, err
+	}
+	if j.Once && j.Key != "" {
+		return r.submitKeyed(ctx, t)
+	}
+	if err := r.launch(t); err != nil {
+		return Answer{}, err
+	}
+	return r.waitFor(ctx, t)
+}
+
+// submitKeyed runs a non-idempotent job with a key. Requests with the same key share one task here; the record tells
+// of requests that came before or elsewhere.
+func (r *Runner) submitKeyed(ctx context.Context, t *task) (Answer, error) {
+	// An earlier attempt can't be ruled out before the record was looked up.
+	t.work = reject.WorkUnknown
+	shared, err := r.join(t)
+	if err != nil {
+		return Answer{}, err
+	}
+	if shared == t {
+		r.arm(t)
+		go func() { r.live(t, r.lookUp(t)) }()
+	}
+	return r.waitFor(ctx, shared)
+}
+
+// join registers a keyed task, or returns the present task of the same key.
+func (r *Runner) join(t *task) (*task, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	present, ok := r.tasks[taskKey{t.team, t.id}]
+	switch {
+	case ok && present.digest != t.digest:
+		return nil, reject.New(reject.KindRequest, reject.WorkNotRun, "the idempotency key was used with another input")
+	case ok:
+		return present, nil
+	case r.stopping:
+		return nil, errStopping()
+	}
+	r.tasks[taskKey{t.team, t.id}] = t
+	return t, nil
+}
+
+// lookUp finds the record of an earlier request with the same key.
+func (r *Runner) lookUp(t *task) state {
+	ctx, cancel := context.WithTimeout(t.life, storeTimeout)
+	defer cancel()
+	c, err := r.parts.Records.Find(ctx, t.team, t.id)
+	switch {
+	case err == nil:
+		return following{c}
+	case errors.Is(err, claim.ErrAbsent):
+		t.setWork(reject.WorkNotRun)
+		return waiting{}
+	}
+	r.log.Warn("record not read", idField(t.id), errField(err))
+	r.rejectAs(t, reject.KindStore, reject.WorkUnknown, time.Second, "the store is unavailable")
+	return finished{}
+}
+
+// waitFor waits for the final answer of a task on behalf of one caller. The task is given up on when its last caller
+// has gone.
+func (r *Runner) waitFor(ctx context.Context, t *task) (Answer, error) {
+	t.addCaller(1)
+	defer t.addCaller(-1)
+	select {
+	case <-t.done:
+		return t.result()
+	case <-ctx.Done():
+	}
+	if t.isShared() || t.recorded && t.knownWork() != reject.WorkNotRun {
+		return Answer{}, reject.New(reject.KindCancelled, reject.WorkUnknown, "the caller has gone, the task goes on")
+	}
+	t.giveUp(reject.KindCancelled, 0, "the caller has gone")
+	<-t.done
+	return t.result()
+}
+
+// admit checks a job against the fresh view and returns its task, which is not yet in line.
+func (r *Runner) admit(j Job, async bool) (*task, error) {
+	if r.isStopping() {
+		return nil, errStopping()
+	}
+	if err := r.parts.Views.Fresh(); err != nil {
+		return nil, asRejection(err, reject.WorkNotRun)
+	}
+	v := r.parts.Views.View()
+	if !r.isMember(v) {
+		return nil, reject.New(reject.KindStale, reject.WorkNotRun, "this instance is not registered").
+			WithRetryAfter(time.Second)
+	}
+	q, ok := v.Document().Queues[j.Queue]
+	if !ok {
+		return nil, reject.New(reject.KindQueue, reject.WorkNotRun, "unknown queue %q", string(j.Queue))
+	}
+	if !q.Open && j.Team != q.Team {
+		return nil, reject.New(reject.KindForbidden, reject.WorkNotRun, "the queue %q belongs to another team", string(j.Queue))
+	}
+	if j.Slots == 0 {
+		j.Slots = max(1, q.Slots)
+	}
+	j.Urgent = j.Urgent || q.Urgent
+	if err := checkSize(v, q, j); err != nil {
+		return nil, err
+	}
+	return r.newTask(q, j, async), nil
+}
+
+func errStopping() error {
+	return reject.New(reject.KindStopping, reject.WorkNotRun, "the instance is shutting down").WithRetryAfter(time.Second)
+}
+
+func (r *Runner) newTask(q fleet.QueueSection, j Job, async bool) *task {
+	now := time.Now()
+	timeout := q.Timeout
+	if j.Timeout > 0 && (timeout == 0 || j.Timeout < timeout) {
+		timeout = j.Timeout
+	}
+	t := &task{id: recordID(q, j, async), job: j, pool: q.Pool, team: q.Team, submitted: now, async: async,
+		recorded: async || j.Once && j.Key != "", limit: q.Waiting, granted: make(chan *attempt, 1),
+		done: make(chan struct{}), phase: PhaseWaiting, work: reject.WorkNotRun}
+	t.life, t.quit = context.WithCancel(context.Background())
+	if t.recorded {
+		t.digest = digestOf(j.Input)
+	}
+	t.timeout = timeout
+	if timeout > 0 {
+		t.deadline = now.Add(timeout)
+	}
+	return t
+}
+
+// recordID derives the id from the idempotency key where a record is kept under it; other tasks get a new one, since
+// each of their submissions may run. Keys on open queues are apart from the team's own, whose results strangers must
+// not reach; no key in a header holds a zero byte.
+func recordID(q fleet.QueueSection, j Job, async bool) string {
+	switch {
+	case j.Key == "" || !j.Once && !async:
+		return claim.NewID()
+	case q.Open:
+		return claim.KeyID(q.Team, string(j.Queue)+"\x00"+j.Key)
+	}
+	return claim.KeyID(q.Team, j.Key)
+}
+
+// checkSize rejects a job that no worker of its pool, or not the team's ceiling, could ever hold.
+func checkSize(v fleet.View, q fleet.QueueSection, j Job) error {
+	largest := 0
+	members := v.Pool(q.Pool)
+	for _, m := range members {
+		largest = max(largest, m.Slots)
+	}
+	if len(members) > 0 && j.Slots > largest {
+		return reject.New(reject.KindImpossible, reject.WorkNotRun,
+			"the job needs %d slots, the largest worker of pool %s has %d", j.Slots, q.Pool, largest)
+	}
+	if c := v.Document().Teams[q.Team].Ceiling; j.Slots > c {
+		return reject.New(reject.KindImpossible, reject.WorkNotRun,
+			"the job needs %d slots, the ceiling of team %s is %d", j.Slots, q.Team, c)
+	}
+	return nil
+}
+
+// launch puts a task in line and starts its goroutine, or returns the rejection of the queue.
+func (r *Runner) launch(t *task) error {
+	if err := r.register(t); err != nil {
+		return err
+	}
+	if err := r.enqueue(t); err != nil {
+		r.forget(t)
+		t.quit()
+		return err
+	}
+	r.arm(t)
+	go r.live(t, waiting{})
+	return nil
+}
+
+// arm sets the timer that gives up on the task at its deadline.
+func (r *Runner) arm(t *task) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.deadline.IsZero() || t.resolved {
+		return
+	}
+	t.timer = time.AfterFunc(time.Until(t.deadline), func() {
+		t.giveUp(reject.KindDeadline, 0, "the deadline has passed")
+	})
+}
+
+func (r *Runner) register(t *task) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return errStopping()
+	}
+	r.tasks[taskKey{t.team, t.id}] = t
+	return nil
+}
+
+// forget removes a task whose last attempt has ended.
+func (r *Runner) forget(t *task) {
+	t.quit()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tasks[taskKey{t.team, t.id}] == t {
+		delete(r.tasks, taskKey{t.team, t.id})
+	}
+	if r.stopping && len(r.tasks) == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+// find returns a task that this instance runs.
+func (r *Runner) find(team fleet.TeamName, id string) (*task, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.tasks[taskKey{team, id}]
+	return t, ok
+}
--- /dev/null
+++ b/internal/serve/runner/world_test.go
@@ -0,0 +1,278 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/plat/object"
+	"github.com/yuccahaven/yuccahaven/internal/state/claim"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// world is everything around the runners of a script: view, workers, store and a coordinator that permits at once.
+type world struct {
+	mu       sync.Mutex
+	view     fleet.View
+	stale    bool
+	late     bool // the view becomes stale between a reservation and its check
+	down     bool // the store
+	members  map[fleet.EntryID]bool
+	leaving  map[fleet.InstanceID]bool
+	records  map[string]claim.Record
+	versions map[string]int
+	objects  map[string][]byte
+	workers  *fakeWorkers
+	runners  map[string]*entryRunner
+	began    time.Time
+	lines    []string
+	hold     bool // no permits
+	next     int
+	ttl      time.Duration
+	pick     []fleet.InstanceID
+}
+
+// entryRunner is one entry instance with its ceiling grants.
+type entryRunner struct {
+	*Runner
+	w     *world
+	id    fleet.EntryID
+	mu    sync.Mutex
+	held  int
+	used  int
+	peak  int
+	want  int
+	stop  context.CancelFunc
+	asked int
+}
+
+func (w *world) log(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := time.Since(w.began).Round(10 * time.Millisecond)
+	w.lines = append(w.lines, fmt.Sprintf("%8s ", at)+fmt.Sprintf(format, args...))
+}
+
+// flush returns the events since the last call; those of one moment are sorted, as their order is left open.
+func (w *world) flush() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slices.SortStableFunc(w.lines, func(a, b string) int {
+		x, _ := time.ParseDuration(strings.Fields(a)[0])
+		y, _ := time.ParseDuration(strings.Fields(b)[0])
+		if x != y {
+			return int(x - y)
+		}
+		return strings.Compare(a, b)
+	})
+	out := strings.Join(w.lines, "\n")
+	w.lines = nil
+	return out + "\n"
+}
+
+func (w *world) View() fleet.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+func (w *world) Fresh() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stale {
+		return reject.New(reject.KindStale, reject.WorkNotRun, "stale")
+	}
+	return nil
+}
+
+func (w *world) Await(ctx context.Context) error {
+	for w.Fresh() != nil {
+		if pause(ctx, 50*time.Millisecond); ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (w *world) Leaving(id fleet.InstanceID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving[id]
+}
+
+// Task delivers a question to the entry instance at an address.
+func (w *world) Task(ctx context.Context, address string, q peer.TaskRequest) (peer.TaskReply, error) {
+	w.mu.Lock()
+	e, ok := w.runners[address]
+	alive := ok && w.members[e.id]
+	w.mu.Unlock()
+	if !alive {
+		return peer.TaskReply{}, context.DeadlineExceeded
+	}
+	return e.HandleTask(ctx, q)
+}
+
+func (e *entryRunner) Self() fleet.Member { return fleet.Member{ID: e.id, Address: string(e.id)} }
+
+func (e *entryRunner) Alive(id fleet.EntryID) bool {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	return e.w.members[id]
+}
+
+func (e *entryRunner) Acquire(_ fleet.TeamName, n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.used+n > e.held {
+		return false
+	}
+	e.used += n
+	e.peak = max(e.peak, e.used)
+	return true
+}
+
+func (e *entryRunner) Release(_ fleet.TeamName, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.used -= n; e.used < 0 {
+		panic("more units released than acquired")
+	}
+}
+
+func (e *entryRunner) Free(fleet.TeamName) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held - e.used
+}
+
+func (e *entryRunner) Want(_ fleet.TeamName, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.want = n
+}
+
+func (e *entryRunner) Estimates(fleet.PoolName) []peer.Estimate { return nil }
+
+// Poke stands for the poll of a coordinator: it permits what waits, on the workers of the pool in turn.
+func (e *entryRunner) Poke(p fleet.PoolName) { time.AfterFunc(time.Millisecond, func() { e.poll(p) }) }
+
+func (e *entryRunner) poll(p fleet.PoolName) {
+	if e.w.hold {
+		return
+	}
+	q := e.Picture(p)
+	for _, d := range q.Demand {
+		n := min(d.Waiting, d.Usable)
+		for range n {
+			e.Permit(e.w.permit(p, d.Team))
+		}
+	}
+	if len(q.Demand) > 0 {
+		time.AfterFunc(20*time.Millisecond, func() { e.poll(p) })
+	}
+}
+
+func (w *world) permit(p fleet.PoolName, t fleet.TeamName) peer.Permit {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	pick := w.pick
+	if len(pick) == 0 {
+		for _, m := range w.view.Pool(p) {
+			pick = append(pick, m.ID)
+		}
+	}
+	return peer.Permit{ID: strconv.Itoa(w.next), Pool: p, Team: t, Slots: 1, TTL: w.ttl, Worker: pick[w.next%len(pick)]}
+}
+
+// ledger is the fake store of task records; a version stands for the ledger's hidden one.
+func (w *world) Claim(ctx context.Context, r claim.Record) (claim.Record, error) {
+	if w.isDown() {
+		return r, claim.ErrUnavailable
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if old, ok := w.records[string(r.Team)+r.ID]; ok {
+		return old, claim.ErrExists
+	}
+	return w.putLocked(r), nil
+}
+
+func (w *world) putLocked(r claim.Record) claim.Record {
+	w.next++
+	r.Write = strconv.Itoa(w.next)
+	w.records[string(r.Team)+r.ID] = r
+	return r
+}
+
+func (w *world) Replace(ctx context.Context, old, next claim.Record) (claim.Record, error) {
+	if w.isDown() {
+		return next, claim.ErrUnavailable
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if present := w.records[string(old.Team)+old.ID]; present.Write != old.Write {
+		return present, claim.ErrConflict
+	}
+	return w.putLocked(next), nil
+}
+
+func (w *world) Find(_ context.Context, t fleet.TeamName, id string) (claim.Record, error) {
+	if w.isDown() {
+		return claim.Record{}, claim.ErrUnavailable
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r, ok := w.records[string(t)+id]; ok {
+		return r, nil
+	}
+	return claim.Record{}, claim.ErrAbsent
+}
+
+func (w *world) Orphans(_ context.Context, live func(fleet.EntryID) bool) ([]claim.Record, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var rs []claim.Record
+	for _, r := range w.records {
+		if r.Async && !r.Final() && !live(r.Owner) {
+			rs = append(rs, r)
+		}
+	}
+	return rs, nil
+}
+
+func (w *world) isDown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
+func (w *world) Put(_ context.Context, name string, body []byte) error {
+	if w.isDown() {
+		return object.ErrUnavailable
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.objects[name] = body
+	return nil
+}
+
+func (w *world) Get(_ context.Context, name string) ([]byte, error) {
+	if w.isDown() {
+		return nil, object.ErrUnavailable
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b, ok := w.objects[name]; ok {
+		return b, nil
+	}
+	return nil, object.ErrAbsent
+}
+
+func (w *world) Delete(context.Context, string) error { return nil }
