Add the load generator

Cause: latency, refusals and shares must be measured from outside under surges that exceed a pool's capacity.

Ruled out: a closed loop, which slows down together with the system and hides its stalls.

--- /dev/null
+++ b/internal/lab/load/caller.go
@@ -0,0 +1,240 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/input"
+	"github.com/yuccahaven/yuccahaven/internal/lab/record"
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/plat/rest"
+)
+
+// Bounds of a caller's patience.
+const (
+	// margin is how long after a request's own timeout an answer is still waited for.
+	margin = 3 * time.Second
+	// pollWait is the long poll of asynchronous requests, in seconds.
+	pollWait = 2
+	// retryPause is the pause before a request is submitted again.
+	retryPause = 200 * time.Millisecond
+	maxAnswer  = input.MaxSize + 1
+)
+
+// Job is one request of a caller.
+type Job struct {
+	// ID is unique in a trial; retries keep it.
+	ID    string
+	Team  fleet.TeamName
+	Queue fleet.QueueName
+	// Secret is the key "yh_<id>_<secret>"; empty on open queues.
+	Secret string
+	// Key is the idempotency key.
+	Key   string
+	Once  bool
+	Async bool
+	Slots int
+	// Timeout is the longest time to an answer.
+	Timeout time.Duration
+	Input   []byte
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	// Event is the final event, or empty if no answer came.
+	Event record.CallEvent
+	Kind  reject.Kind
+}
+
+// Caller submits jobs to the entry instances in turn and records every step.
+type Caller struct {
+	endpoints []string
+	client    *http.Client
+	sink      record.Sink[record.Call]
+	tries     int
+	next      atomic.Uint64
+}
+
+// NewCaller returns a caller for base URLs. A request that has no answer, or an unknown one, is submitted again
+// with its key at another endpoint, up to tries times.
+func NewCaller(endpoints []string, tries int, sink record.Sink[record.Call]) *Caller {
+	t := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: margin}).DialContext, MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute,
+	}
+	return &Caller{endpoints: endpoints, client: &http.Client{Transport: t}, sink: sink, tries: max(tries, 1)}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Do submits a job until it has an answer, the tries are used up or the context ends.
+func (c *Caller) Do(ctx context.Context, j Job) Outcome {
+	want := input.Answer(j.Input)
+	digest := rest.HexDigest(want)
+	var last Outcome
+	for try := 0; try < c.tries && ctx.Err() == nil; try++ {
+		if try > 0 {
+			pause(ctx, retryPause)
+		}
+		c.note(j, record.Call{Event: record.Submitted, Length: int64(len(want)), Digest: digest})
+		o, err := c.submit(ctx, c.endpoint(), j)
+		if err == nil {
+			last = o
+		}
+		if !again(j, o, err) {
+			break
+		}
+	}
+	return last
+}
+
+// again reports whether another submission is allowed and may tell more.
+func again(j Job, o Outcome, err error) bool {
+	if j.Once && j.Key == "" {
+		return false
+	}
+	return err != nil || o.Event == record.Unknown
+}
+
+func (c *Caller) endpoint() string { return c.endpoints[c.next.Add(1)%uint64(len(c.endpoints))] }
+
+func (c *Caller) submit(ctx context.Context, base string, j Job) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, j.Timeout+margin)
+	defer cancel()
+	r, err := c.post(ctx, base, j)
+	if err != nil {
+		return Outcome{}, err
+	}
+	if r.status != http.StatusAccepted {
+		return c.settle(j, r), nil
+	}
+	location := r.header.Get("Location")
+	task := taskOf(r)
+	c.note(j, record.Call{Event: record.Accepted, Task: task})
+	return c.poll(ctx, base, location, j)
+}
+
+func (c *Caller) post(ctx context.Context, base string, j Job) (reply, error) {
+	path := base + "/v1/queues/" + url.PathEscape(string(j.Queue)) + "/tasks"
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewReader(j.Input))
+	if err != nil {
+		return reply{}, err
+	}
+	setHeader(r, "Idempotency-Key", j.Key)
+	if j.Once {
+		r.Header.Set("Idempotent", "?0")
+	}
+	if j.Async {
+		r.Header.Set("Prefer", "respond-async")
+	}
+	if j.Slots > 0 {
+		r.Header.Set("Slots", strconv.Itoa(j.Slots))
+	}
+	r.Header.Set("Timeout", strconv.FormatFloat(j.Timeout.Seconds(), 'f', -1, 64))
+	return c.send(r, j)
+}
+
+// poll asks for an accepted task until it has ended; a broken connection is no reason to give it up.
+func (c *Caller) poll(ctx context.Context, base, location string, j Job) (Outcome, error) {
+	for ctx.Err() == nil {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, base+location, nil)
+		if err != nil {
+			return Outcome{}, err
+		}
+		r.Header.Set("Prefer", "wait="+strconv.Itoa(pollWait))
+		switch p, err := c.send(r, j); {
+		case err != nil || p.status == http.StatusServiceUnavailable:
+			pause(ctx, retryPause)
+			base = c.endpoint()
+		case p.status == http.StatusOK && p.header.Get(rest.DigestHeader) != "" || p.status >= http.StatusBadRequest:
+			return c.settle(j, p), nil
+		}
+	}
+	return Outcome{}, ctx.Err()
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (c *Caller) send(r *http.Request, j Job) (reply, error) {
+	setHeader(r, "Authorization", bearer(j.Secret))
+	res, err := c.client.Do(r)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return reply{}, fmt.Errorf("load: read answer: %w", err)
+	}
+	return reply{status: res.StatusCode, header: res.Header, body: b}, nil
+}
+
+// settle records a final answer.
+func (c *Caller) settle(j Job, r reply) Outcome {
+	if r.status == http.StatusOK {
+		c.note(j, record.Call{
+			Event: record.Answered, Task: taskOf(r), Length: int64(len(r.body)), Digest: rest.HexDigest(r.body),
+		})
+		return Outcome{Event: record.Answered}
+	}
+	var p struct {
+		Kind reject.Kind `json:"kind"`
+		Work reject.Work `json:"work"`
+	}
+	if err := json.Unmarshal(r.body, &p); err != nil || p.Work == "" {
+		p.Kind, p.Work = reject.Kind(fmt.Sprintf("status-%d", r.status)), reject.WorkUnknown
+	}
+	event := record.Refused
+	if p.Work == reject.WorkUnknown {
+		event = record.Unknown
+	}
+	c.note(j, record.Call{Event: event, Task: taskOf(r), Kind: p.Kind, Work: p.Work})
+	return Outcome{Event: event, Kind: p.Kind}
+}
+
+func (c *Caller) note(j Job, r record.Call) {
+	r.Time, r.ID, r.Team, r.Queue, r.Key, r.Once = record.Now(), j.ID, j.Team, j.Queue, j.Key, j.Once
+	c.sink.Write(r)
+}
+
+func taskOf(r reply) string { return r.header.Get("Task-Id") }
+
+func bearer(secret string) string {
+	if secret == "" {
+		return ""
+	}
+	return "Bearer " + secret
+}
+
+func setHeader(r *http.Request, name, value string) {
+	if value != "" {
+		r.Header.Set(name, value)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// ErrSettings is returned for settings that can't produce load.
+var ErrSettings = errors.New("load: bad settings")
--- a/internal/lab/store/store.go
+++ b/internal/lab/store/store.go
@@ -13,6 +13,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/lab/port"
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 )
 
 // Store is one stand-in for the three services.
@@ -38,6 +39,9 @@
 // WithLag sets the time after which changes of instances are listed.
 func WithLag(d time.Duration) Option { return func(s *Store) { s.roster.setLag(d) } }
 
+// WithWatch calls f for each transaction that was applied, in the order of commits; f must not call the store.
+func WithWatch(f func(table.Transaction)) Option { return func(s *Store) { s.table.watch = f } }
+
 // WithRebooter sets how instances restart; the default asks the stand-in worker at the listed address.
 func WithRebooter(f Rebooter) Option { return func(s *Store) { s.roster.reboot = f } }
 
--- a/internal/lab/store/table.go
+++ b/internal/lab/store/table.go
@@ -21,7 +21,8 @@
 	commit uint64
 	items  map[string]table.Item
 	// keys is sorted, for scans.
-	keys []string
+	keys  []string
+	watch func(table.Transaction)
 }
 
 func newData() *data { return &data{items: map[string]table.Item{}} }
@@ -73,6 +74,9 @@
 	for _, w := range t.Writes {
 		d.write(w)
 	}
+	if d.watch != nil {
+		d.watch(t)
+	}
 	return d.commit, true
 }
 
