runner: Test every ambiguous step on the paused clock

Scripts in testdata run the real Runner against small fakes of workers, store and coordinator. They found that an adopted task compared the wrong digest and was rejected as a reused key; fixed.

--- a/internal/serve/node/watch.go
+++ b/internal/serve/node/watch.go
@@ -30,7 +30,6 @@
 	registrar *member.Registrar
 	log       *zap.Logger
 	leaving   atomic.Pointer[map[fleet.InstanceID]bool]
-	entries   atomic.Pointer[[]string]
 }
 
 // Leaving implements runner.Roster.
--- a/internal/serve/runner/adopt.go
+++ b/internal/serve/runner/adopt.go
@@ -85,7 +85,7 @@
 	q := v.Document().Queues[c.Queue]
 	t := r.newTask(q, Job{Queue: c.Queue, Team: c.Team, Input: input, Key: c.Key, Once: c.Once, Urgent: c.Urgent,
 		Slots: max(1, c.Slots)}, true)
-	t.id, t.team, t.digest, t.record, t.admitted = c.ID, c.Team, c.Digest, c, true
+	t.id, t.team, t.digest, t.record, t.admitted = c.ID, c.Team, c.InputDigest, c, true
 	// Clocks of different machines are never compared, so the timeout counts anew.
 	t.timeout, t.deadline = c.Timeout, time.Time{}
 	if c.Timeout > 0 {
--- a/internal/serve/runner/script_test.go
+++ b/internal/serve/runner/script_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,8 +40,8 @@
 func newWorld() *world {
 	w := &world{members: map[fleet.EntryID]bool{}, leaving: map[fleet.InstanceID]bool{},
 		records: map[string]claim.Record{}, objects: map[string][]byte{}, runners: map[string]*entryRunner{},
-		began: time.Now(), ttl: 500 * time.Millisecond}
-	w.workers = &fakeWorkers{nodes: map[string]*fakeWorker{}, journal: w.log}
+		began: time.Now(), pick: "w1"}
+	w.workers = &fakeWorkers{mu: &sync.Mutex{}, nodes: map[string]*fakeWorker{}, journal: w.log}
 	for _, id := range []string{"w1", "w2"} {
 		w.workers.nodes[id] = &fakeWorker{boot: id + ".1", faults: map[string]int{}, tasks: map[fleet.TaskID]*fakeTask{}}
 	}
@@ -58,7 +60,8 @@
 
 func (w *world) addEntry(id fleet.EntryID, units int) {
 	e := &entryRunner{w: w, id: id, held: units}
-	e.Runner = New(Parts{Views: w, Workers: w.workers, Grants: e, Records: w, Objects: w, Members: e, Roster: w, Owners: w})
+	workers := &fakeWorkers{mu: w.workers.mu, cut: &e.cut, nodes: w.workers.nodes, journal: w.log}
+	e.Runner = New(Parts{Views: w, Workers: workers, Grants: e, Records: w, Objects: w, Members: e, Roster: w, Owners: w})
 	e.Attach(e)
 	w.members[id] = true
 	w.runners[string(id)] = e
@@ -102,7 +105,9 @@
 		time.Sleep(dur)
 		synctest.Wait()
 	case "lose":
+		w.workers.mu.Lock()
 		node.faults[d.CmdArgs[0].Key]++
+		w.workers.mu.Unlock()
 	case "set":
 		w.set(d, node)
 	case "zone":
@@ -111,8 +116,8 @@
 		w.addEntry(fleet.EntryID(d.CmdArgs[0].Key), 10)
 	case "kill":
 		w.kill(e)
-	case "units":
-		return fmt.Sprintf("used %d\n", e.used)
+	case "used":
+		return fmt.Sprintf("used %d\n", e.held-e.Free(""))
 	case "poll":
 		w.poll(e, arg("id", ""), arg("team", "blue"))
 	case "cancel":
@@ -140,14 +145,21 @@
 		defer cancel()
 		if d.HasArg("async") {
 			_, err := e.SubmitAsync(ctx, j)
-			w.log("%s accepted: %s", name, outcome(Answer{}, err))
+			e.report("%s accepted: %s", name, outcome(Answer{}, err))
 			return
 		}
 		a, err := e.Submit(ctx, j)
-		w.log("%s answered: %s", name, outcome(a, err))
+		e.report("%s answered: %s", name, outcome(a, err))
 	}()
 }
 
+// report logs what a caller of this instance sees; callers of a dead one see nothing.
+func (e *entryRunner) report(format string, args ...any) {
+	if !e.cut.Load() {
+		e.w.log(format, args...)
+	}
+}
+
 func outcome(a Answer, err error) string {
 	var e *reject.Error
 	switch {
@@ -189,6 +201,22 @@
 			node.boot, node.tasks = node.boot+"x", map[fleet.TaskID]*fakeTask{}
 		case "delay":
 			node.delay, _ = time.ParseDuration(a.Vals[0])
+		case "slow":
+			node.slow, _ = time.ParseDuration(a.Vals[0])
+		case "slowstore":
+			w.slow, _ = time.ParseDuration(a.Vals[0])
+		case "draining":
+			ms := w.view.Pool("main")
+			ms[0].State = fleet.InstanceDraining
+			w.view = w.view.WithPool("main", ms)
+		case "units":
+			for _, e := range w.runners {
+				e.mu.Lock()
+				e.held, _ = strconv.Atoi(a.Vals[0])
+				e.mu.Unlock()
+			}
+		case "removed":
+			w.view = w.view.WithoutMember("a.1")
 		case "stale":
 			w.stale = on
 		case "down":
@@ -197,10 +225,8 @@
 			w.hold = on
 		case "leaving":
 			w.leaving["w1"] = on
-		case "ttl":
-			w.ttl, _ = time.ParseDuration(a.Vals[0])
 		case "pick":
-			w.pick = []fleet.InstanceID{fleet.InstanceID(a.Vals[0])}
+			w.pick = fleet.InstanceID(a.Vals[0])
 		case "pool":
 			doc := w.view.Document()
 			q := doc.Queues["rope"]
@@ -221,6 +247,7 @@
 // kill cuts an entry instance off from everything at once and removes it from the members.
 func (w *world) kill(e *entryRunner) {
 	e.stop()
+	e.cut.Store(true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.members[e.id] = false
--- a/internal/serve/runner/worker_test.go
+++ b/internal/serve/runner/worker_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
@@ -13,7 +14,8 @@
 
 // fakeWorkers are the workers of a scripted fleet. A task's input is "<name> <run time> [fail]".
 type fakeWorkers struct {
-	mu      sync.Mutex
+	mu      *sync.Mutex
+	cut     *atomic.Bool           // the entry instance that calls has died
 	nodes   map[string]*fakeWorker // by address
 	journal func(format string, args ...any)
 }
@@ -21,12 +23,12 @@
 type fakeWorker struct {
 	boot   string
 	silent bool
-	hung   bool // answers take effect, but no reply ever arrives
-	used   int
+	hung   bool           // answers take effect, but no reply ever arrives
 	faults map[string]int // operation: replies to lose, "drop-" for requests, "damage" for results
 	busy   bool
 	tasks  map[fleet.TaskID]*fakeTask
-	delay  time.Duration // of starts
+	delay  time.Duration // of starts on their way
+	slow   time.Duration // of reservations
 }
 
 type fakeTask struct {
@@ -43,7 +45,7 @@
 func (f *fakeWorkers) enter(ctx context.Context, address, op string) (n *fakeWorker, lose bool, err error) {
 	f.mu.Lock()
 	n, ok := f.nodes[address]
-	silent := ok && (n.silent || n.take("drop-"+op))
+	silent := ok && (n.silent || n.take("drop-"+op)) || f.cut.Load()
 	f.mu.Unlock()
 	if !ok {
 		return nil, false, worker.ErrRefused
@@ -86,10 +88,10 @@
 			if strings.HasSuffix(t.input, "fail") {
 				t.state = worker.Failed
 			}
-			journal("worker: %s %s", attemptName(id, t.name), t.state)
+			journal("worker: %s %s", t.name, t.state)
 		case t.state == worker.Running && !now.Before(t.until):
 			n.end(t, worker.Stopped)
-			journal("worker: %s lapsed", attemptName(id, t.name))
+			journal("worker: %s lapsed", t.name)
 		}
 	}
 }
@@ -99,10 +101,6 @@
 	close(t.done)
 }
 
-func attemptName(id fleet.TaskID, name string) string {
-	return name + string(id[strings.LastIndexByte(string(id), '.'):])
-}
-
 func (f *fakeWorkers) Reserve(ctx context.Context, address string, r worker.Reservation) error {
 	n, lose, err := f.enter(ctx, address, "reserve")
 	if err != nil {
@@ -117,9 +115,11 @@
 	case !known:
 		n.tasks[r.Task] = &fakeTask{state: worker.Reserved, until: time.Now().Add(r.TTL), done: make(chan struct{})}
 	}
+	slow := n.slow
 	if lost := f.leave(ctx, lose); lost != nil {
 		return lost
 	}
+	pause(ctx, slow)
 	return err
 }
 
@@ -157,7 +157,7 @@
 			d -= past
 		}
 		t.until, t.ends = time.Now().Add(s.Lease), time.Now().Add(d)
-		f.journal("worker: %s started at %s", attemptName(s.Task, t.name), address)
+		f.journal("worker: %s started at %s", t.name, address)
 	}
 	if lost := f.leave(ctx, lose); lost != nil {
 		return lost
@@ -243,7 +243,7 @@
 	case t.state == worker.Running:
 		at = "at " + time.Since(t.began).String()
 		n.end(t, worker.Stopped)
-		f.journal("worker: %s stopped", attemptName(id, t.name))
+		f.journal("worker: %s stopped", t.name)
 	}
 	st, _ := n.status(id)
 	if checkpoint {
--- a/internal/serve/runner/world_test.go
+++ b/internal/serve/runner/world_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
@@ -18,38 +19,38 @@
 
 // world is everything around the runners of a script: view, workers, store and a coordinator that permits at once.
 type world struct {
-	mu       sync.Mutex
-	view     fleet.View
-	stale    bool
-	late     bool // the view becomes stale between a reservation and its check
-	down     bool // the store
-	members  map[fleet.EntryID]bool
-	leaving  map[fleet.InstanceID]bool
-	records  map[string]claim.Record
-	versions map[string]int
-	objects  map[string][]byte
-	workers  *fakeWorkers
-	runners  map[string]*entryRunner
-	began    time.Time
-	lines    []string
-	hold     bool // no permits
-	next     int
-	ttl      time.Duration
-	pick     []fleet.InstanceID
+	mu      sync.Mutex
+	view    fleet.View
+	stale   bool
+	down    bool // the store
+	members map[fleet.EntryID]bool
+	leaving map[fleet.InstanceID]bool
+	records map[string]claim.Record
+	objects map[string][]byte
+	workers *fakeWorkers
+	slow    time.Duration // of the object store
+	runners map[string]*entryRunner
+	began   time.Time
+	lines   []string
+	hold    bool // no permits
+	next    int
+	pick    fleet.InstanceID // the worker that permits name
 }
 
 // entryRunner is one entry instance with its ceiling grants.
 type entryRunner struct {
 	*Runner
-	w     *world
-	id    fleet.EntryID
-	mu    sync.Mutex
-	held  int
-	used  int
-	peak  int
-	want  int
-	stop  context.CancelFunc
-	asked int
+	w    *world
+	id   fleet.EntryID
+	mu   sync.Mutex
+	held int
+	used int
+	peak int
+	want int
+	stop context.CancelFunc
+	cut  atomic.Bool
+	// polling keeps two polls of one moment from permitting the same demand twice.
+	polling sync.Mutex
 }
 
 func (w *world) log(format string, args ...any) {
@@ -71,9 +72,9 @@
 		}
 		return strings.Compare(a, b)
 	})
-	out := strings.Join(w.lines, "\n")
+	out := strings.Join(append(w.lines, ""), "\n")
 	w.lines = nil
-	return out + "\n"
+	return out
 }
 
 func (w *world) View() fleet.View {
@@ -159,16 +160,18 @@
 
 func (e *entryRunner) Estimates(fleet.PoolName) []peer.Estimate { return nil }
 
-// Poke stands for the poll of a coordinator: it permits what waits, on the workers of the pool in turn.
+// Poke stands for the poll of a coordinator: it permits what waits, on the worker that the script picks.
 func (e *entryRunner) Poke(p fleet.PoolName) { time.AfterFunc(time.Millisecond, func() { e.poll(p) }) }
 
 func (e *entryRunner) poll(p fleet.PoolName) {
 	if e.w.hold {
 		return
 	}
+	e.polling.Lock()
+	defer e.polling.Unlock()
 	q := e.Picture(p)
 	for _, d := range q.Demand {
-		n := min(d.Waiting, d.Usable)
+		n := min(d.Waiting, d.Usable) - len(q.Unused)
 		for range n {
 			e.Permit(e.w.permit(p, d.Team))
 		}
@@ -182,16 +185,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.next++
-	pick := w.pick
-	if len(pick) == 0 {
-		for _, m := range w.view.Pool(p) {
-			pick = append(pick, m.ID)
-		}
-	}
-	return peer.Permit{ID: strconv.Itoa(w.next), Pool: p, Team: t, Slots: 1, TTL: w.ttl, Worker: pick[w.next%len(pick)]}
+	return peer.Permit{ID: strconv.Itoa(w.next), Pool: p, Team: t, Slots: 1, TTL: 500 * time.Millisecond, Worker: w.pick}
 }
 
-// ledger is the fake store of task records; a version stands for the ledger's hidden one.
+// Claim and the methods below are the fake store of task records; Write stands for the ledger's hidden version.
 func (w *world) Claim(ctx context.Context, r claim.Record) (claim.Record, error) {
 	if w.isDown() {
 		return r, claim.ErrUnavailable
@@ -253,7 +250,8 @@
 	return w.down
 }
 
-func (w *world) Put(_ context.Context, name string, body []byte) error {
+func (w *world) Put(ctx context.Context, name string, body []byte) error {
+	pause(ctx, w.slow)
 	if w.isDown() {
 		return object.ErrUnavailable
 	}
