--- a/internal/serve/runner/script_test.go
+++ b/internal/serve/runner/script_test.go
@@ -106,7 +106,8 @@
 		synctest.Wait()
 	case "lose":
 		w.workers.mu.Lock()
-		node.faults[d.CmdArgs[0].Key]++
+		n, _ := strconv.Atoi(arg("n", "1"))
+		node.faults[d.CmdArgs[0].Key] += n
 		w.workers.mu.Unlock()
 	case "set":
 		w.set(d, node)
@@ -114,6 +115,8 @@
 		w.setZone(fleet.AvailabilityZone(arg("zone", "z1")), fleet.ZoneState(d.CmdArgs[0].Key))
 	case "entry":
 		w.addEntry(fleet.EntryID(d.CmdArgs[0].Key), 10)
+	case "permit":
+		e.Permit(w.permit("main", "blue"))
 	case "kill":
 		w.kill(e)
 	case "used":
--- a/internal/serve/runner/world_test.go
+++ b/internal/serve/runner/world_test.go
@@ -190,6 +190,9 @@
 
 // Claim and the methods below are the fake store of task records; Write stands for the ledger's hidden version.
 func (w *world) Claim(ctx context.Context, r claim.Record) (claim.Record, error) {
+	if pause(ctx, w.slow); ctx.Err() != nil {
+		return r, claim.ErrUnknown
+	}
 	if w.isDown() {
 		return r, claim.ErrUnavailable
 	}
@@ -209,6 +212,9 @@
 }
 
 func (w *world) Replace(ctx context.Context, old, next claim.Record) (claim.Record, error) {
+	if pause(ctx, w.slow); ctx.Err() != nil {
+		return next, claim.ErrUnknown
+	}
 	if w.isDown() {
 		return next, claim.ErrUnavailable
 	}
@@ -220,8 +226,8 @@
 	return w.putLocked(next), nil
 }
 
-func (w *world) Find(_ context.Context, t fleet.TeamName, id string) (claim.Record, error) {
-	if w.isDown() {
+func (w *world) Find(ctx context.Context, t fleet.TeamName, id string) (claim.Record, error) {
+	if pause(ctx, w.slow); w.isDown() || ctx.Err() != nil {
 		return claim.Record{}, claim.ErrUnavailable
 	}
 	w.mu.Lock()
