--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -261,6 +261,7 @@
 	journal := d.platform.Journal.Records()
 	r := Result{Load: report, Problems: d.problems, Table: d.platform.Store.Counters(store.Table)}
 	r.Summary = audit.Run(audit.Input{Journal: journal, Calls: d.calls.Records(), Edits: d.platform.Edits.Records()})
+	r.Connections = d.platform.Peak()
 	r.OutMillis = d.absence.out.accepted.Sub(d.absence.out.sent).Milliseconds()
 	r.BackMillis = d.absence.back.accepted.Sub(d.absence.back.sent).Milliseconds()
 	return r.withStarts(journal, d.absence)
--- a/internal/lab/demo/platform.go
+++ b/internal/lab/demo/platform.go
@@ -23,6 +23,8 @@
 	Edits   *record.Log[record.Edit]
 	urls    map[store.Service]string
 	ports   []*port.TCP
+	// workers are those of the ports that belong to workers.
+	workers []*port.TCP
 }
 
 // NewPlatform starts store and workers on free loopback ports.
@@ -70,6 +72,7 @@
 		return err
 	}
 	p.ports = append(p.ports, t)
+	p.workers = append(p.workers, t)
 	p.Workers[l.ID] = w
 	p.Store.Put(w.Listing())
 	return nil
@@ -85,6 +88,15 @@
 	return nil
 }
 
+// Peak returns the largest number of connections that a worker had open at once.
+func (p *Platform) Peak() int {
+	peak := 0
+	for _, t := range p.workers {
+		peak = max(peak, t.Peak())
+	}
+	return peak
+}
+
 // Close ends the stand-ins.
 func (p *Platform) Close() {
 	for _, t := range p.ports {
--- a/internal/lab/demo/result.go
+++ b/internal/lab/demo/result.go
@@ -22,6 +22,8 @@
 	Seconds    float64        `json:"seconds"`
 	Load       load.Report    `json:"load"`
 	Table      store.Counters `json:"table"`
+	// Connections is the largest number of connections that a worker had open at once.
+	Connections int `json:"connections"`
 	// Problems are faults of the demo itself, such as an entry instance that ended by itself.
 	Problems []string `json:"problems,omitempty"`
 }
