demo: Count restarts and list entry instances by their peer address

Cause: entry instances find each other for a start without the store by the address in the roster, which is that of the inner protocol.

Change: the demo lists that address, and reports starts of requests beyond their first.

Conclusion: tests of the package pass with -race.

--- a/internal/lab/demo/drive.go
+++ b/internal/lab/demo/drive.go
@@ -97,5 +97,5 @@
 }
 
 func listEntry(e Entry) roster.Listing {
-	return roster.Listing{ID: fleet.InstanceID(e.Name), Kind: roster.Entry, Address: e.Listen, Zone: e.Zone, State: roster.Live}
+	return roster.Listing{ID: fleet.InstanceID(e.Name), Kind: roster.Entry, Address: e.Peer, Zone: e.Zone, State: roster.Live}
 }
--- a/internal/lab/demo/result.go
+++ b/internal/lab/demo/result.go
@@ -16,6 +16,8 @@
 	Inside    int `json:"inside"`
 	Elsewhere int `json:"elsewhere"`
 	Back      int `json:"back"`
+	// Restarts counts the starts of requests beyond their first.
+	Restarts int `json:"restarts"`
 	// OutMillis and BackMillis are how long the two edits took to be accepted, in milliseconds.
 	OutMillis  int64          `json:"outmillis"`
 	BackMillis int64          `json:"backmillis"`
@@ -40,10 +42,15 @@
 }
 
 func (r Result) withStarts(journal []record.Journal, a absence) Result {
+	seen := map[string]bool{}
 	for _, j := range journal {
 		if j.Event != record.Started {
 			continue
 		}
+		if seen[j.Key] {
+			r.Restarts++
+		}
+		seen[j.Key] = true
 		out := j.Time > a.out.accepted && j.Time < a.back.sent
 		switch {
 		case out && j.Zone == a.zone:
