sched: Add learning, quarantine, zone return and holds for large tasks

Small tasks took every slot as it became free, so that a task of four slots never started in a full pool.

A coordinator without any knowledge of a zone resumes at the step that the entries echo. If no zone of the pool is in service and nobody asked for a departure, the ramp is left out, as it would protect nothing.

--- a/internal/sched/alloc/coordinator.go
+++ b/internal/sched/alloc/coordinator.go
@@ -33,6 +33,10 @@
 	probeTimeout  = 400 * time.Millisecond
 	// probeTicks divides a probe interval, so that the probes of a large pool are spread over it.
 	probeTicks = 10
+	// freshPools and freshProbes bound the probes that are sent at once when the first poll for a pool arrives, so
+	// that work for an idle pool need not wait for a whole probe interval.
+	freshPools  = 16
+	freshProbes = 200
 )
 
 // Viewer returns the current view.
@@ -55,6 +59,7 @@
 
 	mu    sync.Mutex
 	pools map[fleet.PoolName]*pool
+	fresh chan *pool // pools to probe at once
 }
 
 // CoordinatorOption changes a Coordinator.
@@ -73,7 +78,7 @@
 	c := &Coordinator{
 		self: self, views: views, prober: prober, connections: place.DefaultConnections,
 		policy: func() share.Policy { return share.Occupancy{} },
-		pools:  map[fleet.PoolName]*pool{},
+		pools:  map[fleet.PoolName]*pool{}, fresh: make(chan *pool, freshPools),
 	}
 	for _, o := range options {
 		o(c)
@@ -91,17 +96,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.polled = now
-	p.follow(c.views.View())
+	p.follow(c.views.View(), now)
 	reply := peer.PollReply{Coordinator: c.self, Sequence: q.Sequence}
 	e := p.entry(q.From)
 	p.observe(q.Outcomes, now)
 	if q.Sequence <= e.sequence {
 		return reply, nil // overtaken by a later poll of the same entry
 	}
+	p.resume(q.Steps, now)
 	p.expire(now)
 	p.absorb(e, q, now)
 	p.allocate(now, e)
 	reply.Permits = p.collect(e, now)
+	reply.Steps = p.steps()
+	reply.Estimates = p.estimates(e, now)
 	return reply, nil
 }
 
@@ -111,16 +119,22 @@
 	defer t.Stop()
 	var probes sync.WaitGroup
 	defer probes.Wait()
-	for i := 0; ; i++ {
+	send := func(p *pool, due []*node) {
+		for _, w := range due {
+			probes.Go(func() { c.probe(ctx, p, w) })
+		}
+	}
+	for i := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
+		case p := <-c.fresh:
+			send(p, p.untried(c.views.View()))
 		case <-t.C:
-		}
-		for _, p := range c.active(time.Now()) {
-			for _, w := range p.due(c.views.View(), i%probeTicks) {
-				probes.Go(func() { c.probe(ctx, p, w) })
+			for _, p := range c.active(time.Now()) {
+				send(p, p.due(c.views.View(), i%probeTicks))
 			}
+			i++
 		}
 	}
 }
@@ -131,7 +145,7 @@
 	r, err := c.prober.Report(ctx, w.address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.probed(w, r, err, time.Now())
+	p.probed(w, r, err)
 }
 
 func (c *Coordinator) pool(name fleet.PoolName, now time.Time) *pool {
@@ -141,6 +155,10 @@
 	if !ok {
 		p = newPool(c, name, now)
 		c.pools[name] = p
+		select {
+		case c.fresh <- p:
+		default: // the next ticks probe it
+		}
 	}
 	return p
 }
--- a/internal/sched/alloc/coordinator_test.go
+++ b/internal/sched/alloc/coordinator_test.go
@@ -21,6 +21,7 @@
 // bench is a pool "p" with scripted entries and workers around a real coordinator.
 type bench struct {
 	c        *Coordinator
+	stop     func()
 	mu       sync.Mutex
 	view     fleet.View
 	reports  map[fleet.InstanceID]worker.Report
@@ -38,10 +39,22 @@
 		held: map[fleet.EntryID][]peer.Permit{}, running: map[fleet.EntryID][]peer.Occupied{},
 		outcomes: map[fleet.EntryID][]peer.Outcome{},
 	}
-	b.c = NewCoordinator("coordinator.1", b, b)
+	b.replace()
 	return b
 }
 
+// replace starts a new coordinator without any state.
+func (b *bench) replace() {
+	if b.stop != nil {
+		b.stop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	c := NewCoordinator("coordinator.1", b, b)
+	go func() { defer close(done); c.Run(ctx) }()
+	b.c, b.stop = c, func() { cancel(); <-done }
+}
+
 func (b *bench) View() fleet.View {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -87,6 +100,9 @@
 		time.Sleep(w)
 		synctest.Wait()
 		return ""
+	case "coordinator":
+		b.replace()
+		return ""
 	case "worker":
 		return b.worker(t, d)
 	case "poll":
@@ -184,6 +200,9 @@
 	}
 	b.held[id] = append(b.held[id], r.Permits...)
 	b.steps = r.Steps
+	if d.HasArg("estimates") {
+		return fmt.Sprintf("%+v\n", r.Estimates)
+	}
 	return describe(r)
 }
 
@@ -266,12 +285,8 @@
 	datadriven.Walk(t, "testdata/coordinator", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBench()
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() { defer close(done); b.c.Run(ctx) }()
+			defer func() { b.stop() }()
 			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return b.run(t, d) })
-			cancel()
-			<-done
 		})
 	})
 }
--- a/internal/sched/alloc/entry.go
+++ b/internal/sched/alloc/entry.go
@@ -45,6 +45,7 @@
 	demands  map[*team]*demand
 	permits  map[string]*permit
 	promised []*permit // in order of promise
+	informed time.Time // when estimates were last sent
 }
 
 func (p *pool) entry(id fleet.EntryID) *entry {
--- a/internal/sched/alloc/grant.go
+++ b/internal/sched/alloc/grant.go
@@ -17,13 +17,11 @@
 // allocate gives out free slots in the order of the sharing policy. Slots for other entries than the polling one
 // are promised and collected with their next polls.
 func (p *pool) allocate(now time.Time, polling *entry) {
-	if p.picker.Free() == 0 {
-		return
-	}
+	p.review(now)
 	for _, c := range p.claims {
 		c.Skip = false
 	}
-	for p.picker.Free() > 0 {
+	for p.picker.Free() > 0 || p.ready() {
 		c, urgent := p.sharer.Next(now, p.claims)
 		if c == nil {
 			return
@@ -35,7 +33,10 @@
 			continue
 		}
 		slots := d.size(urgent)
-		n := p.picker.Pick(slots)
+		n := p.place(t, slots, now)
+		if n == nil && slots == 1 && !p.ready() {
+			return // nothing else fits either
+		}
 		if n == nil {
 			c.Skip = true
 			continue
@@ -53,7 +54,8 @@
 		},
 		entry: d.entry, team: d.team, from: now, promised: true,
 	}
-	p.sharer.Charge(now, &d.team.claim, urgent, slots, 0)
+	p.sharer.Charge(now, &d.team.claim, urgent, slots, d.team.typical)
+	d.team.starts.Add(now, slots)
 	d.take(slots, urgent)
 	p.use(id, slots)
 	p.permits[m.ID] = m
--- a/internal/sched/alloc/loop.go
+++ b/internal/sched/alloc/loop.go
@@ -17,6 +17,7 @@
 	poke    chan struct{}
 	started bool // guarded by Agent.mu
 	route   *route
+	warming sync.WaitGroup
 
 	mu        sync.Mutex
 	sequence  uint64
@@ -29,6 +30,7 @@
 }
 
 func (l *loop) run(ctx context.Context) {
+	defer l.warming.Wait()
 	active := time.Now()
 	for ctx.Err() == nil {
 		from := time.Now()
@@ -101,7 +103,7 @@
 		m = fleet.Member{ID: l.agent.self} // no member is registered yet
 	}
 	for _, r := range l.route.retries(ranked, m, time.Now()) {
-		go l.warm(ctx, r, q)
+		l.warming.Go(func() { l.warm(ctx, r, q) })
 	}
 	sent := time.Now()
 	reply, err := l.call(ctx, m, q)
--- a/internal/sched/alloc/pool.go
+++ b/internal/sched/alloc/pool.go
@@ -5,21 +5,22 @@
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/sched/health"
+	"github.com/yuccahaven/yuccahaven/internal/sched/learn"
 	"github.com/yuccahaven/yuccahaven/internal/sched/place"
 	"github.com/yuccahaven/yuccahaven/internal/sched/share"
-	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
 // node is a worker of the pool as the coordinator knows it.
 type node struct {
 	*place.Node
+	zone      *zone
+	contact   health.Contact
 	address   string
 	startable bool
 	leaving   bool
-	probed    bool
-	blocked   bool // refused a reservation or was unreachable for an entry since the last probe
+	tried     bool // a probe has ended
 	probing   bool
-	failures  int
 	boot      string
 	// leftover are running tasks that no entry reports, with their slots; unclaimed are those of the last report.
 	leftover  map[fleet.TaskID]int
@@ -31,6 +32,9 @@
 	claim   share.Claim
 	unit    int // largest declared size of the team's queues
 	demands []*demand
+	starts  learn.Rate    // slots
+	typical time.Duration // run time of its latest tasks
+	hold    *hold
 }
 
 // pool is the allocation state of one pool.
@@ -55,6 +59,10 @@
 
 	tasks    map[fleet.TaskID]*task
 	released recent
+	health   *health.Watch
+	zones    map[fleet.AvailabilityZone]*zone
+	queues   map[fleet.QueueName]*queue
+	holds    int
 }
 
 func newPool(c *Coordinator, name fleet.PoolName, now time.Time) *pool {
@@ -63,6 +71,7 @@
 		picker: place.NewPicker(c.connections), sharer: share.NewSharer(c.policy()),
 		workers: map[fleet.InstanceID]*node{}, teams: map[fleet.TeamName]*team{},
 		entries: map[fleet.EntryID]*entry{}, permits: map[string]*permit{}, tasks: map[fleet.TaskID]*task{},
+		health: health.NewWatch(), zones: map[fleet.AvailabilityZone]*zone{}, queues: map[fleet.QueueName]*queue{},
 	}
 }
 
@@ -73,19 +82,20 @@
 }
 
 // follow applies a new view: workers, their states, and the teams' weights.
-func (p *pool) follow(v fleet.View) {
+func (p *pool) follow(v fleet.View, now time.Time) {
 	if p.known && v.Revision() == p.revision {
 		return
 	}
 	p.known, p.revision = true, v.Revision()
-	p.followWorkers(v)
+	p.followWorkers(v, now)
 	p.document = v.Document()
+	p.health.Resize(len(p.order), p.document.Pools[p.name].Quarantine)
 	for _, t := range p.teams {
 		p.weigh(t)
 	}
 }
 
-func (p *pool) followWorkers(v fleet.View) {
+func (p *pool) followWorkers(v fleet.View, now time.Time) {
 	present := map[fleet.InstanceID]bool{}
 	for _, m := range v.Pool(p.name) {
 		present[m.ID] = true
@@ -96,6 +106,7 @@
 		}
 		if !ok {
 			w = &node{Node: p.picker.Add(place.Worker{ID: m.ID, Zone: m.Zone, Rack: m.Rack, Slots: m.Slots})}
+			w.zone = p.zone(m.Zone, v, now)
 			p.workers[m.ID] = w
 			p.order = append(p.order, w)
 			p.adopt(w)
@@ -108,6 +119,7 @@
 			p.remove(w)
 		}
 	}
+	p.followZones(v, now)
 }
 
 // adopt counts the tasks and permits that the coordinator already knows on a worker that joined the view later.
@@ -126,6 +138,7 @@
 
 func (p *pool) remove(w *node) {
 	p.picker.Remove(w.Node)
+	p.health.Forget(w.ID)
 	delete(p.workers, w.ID)
 	for i, o := range p.order {
 		if o == w {
@@ -138,8 +151,8 @@
 // limit sets how many slots of a worker may be given out.
 func (p *pool) limit(w *node) {
 	slots := 0
-	if w.startable && w.probed && !w.leaving && !w.blocked && w.failures < unreachableAfter {
-		slots = w.Slots
+	if w.startable && !w.leaving && w.contact.Usable() {
+		slots = p.health.Limit(w.ID, w.Slots)
 	}
 	p.picker.Limit(w.Node, slots)
 }
@@ -171,17 +184,3 @@
 		p.picker.Use(w.Node, slots)
 	}
 }
-
-// observe takes in the outcomes that entries report.
-func (p *pool) observe(outcomes []peer.Outcome, _ time.Time) {
-	for _, o := range outcomes {
-		w, ok := p.workers[o.Worker]
-		if !ok {
-			continue
-		}
-		if o.Kind == peer.OutcomeRefused || o.Kind == peer.OutcomeUnreachable {
-			w.blocked = true
-			p.limit(w)
-		}
-	}
-}
--- a/internal/sched/alloc/probe.go
+++ b/internal/sched/alloc/probe.go
@@ -7,9 +7,6 @@
 	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
 )
 
-// unreachableAfter is the number of failed probes in a row that exclude a worker; a single lost probe does not.
-const unreachableAfter = 2
-
 // releasedFor is how long an ended task is remembered, so that a probe sent before its end doesn't count it.
 const releasedFor = 2 * probeInterval
 
@@ -39,9 +36,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	p.follow(v)
+	p.follow(v, now)
 	p.expire(now)
 	p.released.turn(now)
+	if tick%(probeTicks/2) == 0 {
+		p.advance(now)
+	}
 	var due []*node
 	for i := tick; i < len(p.order); i += probeTicks {
 		if w := p.order[i]; !w.probing {
@@ -52,19 +52,35 @@
 	return due
 }
 
+// untried returns workers that were not probed yet.
+func (p *pool) untried(v fleet.View) []*node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow(v, time.Now())
+	var due []*node
+	for _, w := range p.order {
+		if !w.tried && !w.probing && len(due) < freshProbes {
+			w.probing = true
+			due = append(due, w)
+		}
+	}
+	return due
+}
+
 // probed takes in a worker's reply to a probe.
-func (p *pool) probed(w *node, r worker.Report, err error, now time.Time) {
-	w.probing = false
+func (p *pool) probed(w *node, r worker.Report, err error) {
+	w.probing, w.tried = false, true
 	if p.workers[w.ID] != w {
 		return // left the pool meanwhile
 	}
-	if err != nil || r.Instance != w.ID {
-		w.failures++
+	ok := err == nil && r.Instance == w.ID // another instance may have got the address
+	w.contact.Probed(ok)
+	if !ok {
 		p.limit(w)
 		return
 	}
-	first := !w.probed || w.boot != r.Boot
-	w.failures, w.probed, w.blocked, w.leaving, w.boot = 0, true, false, r.Leaving, r.Boot
+	first := w.boot != r.Boot
+	w.leaving, w.boot = r.Leaving, r.Boot
 	p.picker.Connections(w.Node, r.Connections)
 	p.leftovers(w, r, first)
 	p.limit(w)
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -183,6 +183,9 @@
 	return n.limit-n.used >= slots && n.connections < p.connections
 }
 
+// Allows reports whether a worker's limit lets it run a task at all.
+func (p *Picker) Allows(n *Node, slots int) bool { return n.limit >= slots }
+
 // Unhold ends a hold.
 func (p *Picker) Unhold(n *Node) {
 	p.extract(n)
--- /dev/null
+++ b/internal/sched/ramp/ramp_test.go
@@ -0,0 +1,93 @@
+package ramp
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+type script struct {
+	m   *Machine
+	now time.Time
+	s   Sight
+}
+
+// run executes "new", "zone" (a status of the view), "sight" (changes what is seen), "run T" (ticks twice a
+// second with own and other outcomes) and "echo" (a step reported by an entry).
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	status := fleet.ZoneStatus{State: fleet.ZoneIn}
+	if d.HasArg("out") {
+		status.State = fleet.ZoneOut
+	}
+	if d.HasArg("generation") {
+		d.ScanArgs(t, "generation", &status.Generation)
+	}
+	switch d.Cmd {
+	case "new":
+		s.s = Sight{Workers: 4, Responding: 4, Proven: 4}
+		s.m = New(s.now, status)
+	case "zone":
+		s.m.Follow(s.now, status)
+	case "sight":
+		for key, to := range map[string]*int{"responding": &s.s.Responding, "proven": &s.s.Proven,
+			"leftover": &s.s.Leftover, "running": &s.s.Running} {
+			if d.HasArg(key) {
+				d.ScanArgs(t, key, to)
+			}
+		}
+		s.s.Alone = d.HasArg("alone")
+		s.m.Tick(s.now, s.s)
+	case "echo":
+		var step int
+		d.ScanArgs(t, "step", &step)
+		s.m.Resume(s.now, status.Generation, step)
+	case "run":
+		return s.pass(t, d)
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return s.describe()
+}
+
+// pass lets time go by and lists each change of state with its time.
+func (s *script) pass(t *testing.T, d *datadriven.TestData) string {
+	span, err := time.ParseDuration(d.CmdArgs[0].Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	from, slow := s.now, 1.0
+	if d.HasArg("slow") {
+		d.ScanArgs(t, "slow", &slow)
+	}
+	last, out := "", ""
+	for ; s.now.Before(from.Add(span)); s.now = s.now.Add(500 * time.Millisecond) {
+		for i := range 4 {
+			if !d.HasArg("quiet") && s.m.Percent() > 0 {
+				s.m.Observe(true, d.HasArg("failing") || d.HasArg("flaky") && i == 0, slow)
+			}
+			s.m.Observe(false, d.HasArg("flaky") && i == 0, 1)
+		}
+		s.m.Tick(s.now, s.s)
+		if now := s.describe(); now != last {
+			out += fmt.Sprintf("%v: %s", s.now.Sub(from), now)
+			last = now
+		}
+	}
+	return out
+}
+
+func (s *script) describe() string {
+	return fmt.Sprintf("%s %d%%, step %d, generation %d\n", s.m.State(), s.m.Percent(), s.m.Step(), s.m.Generation())
+}
+
+// TestMachine runs the scripts in testdata; each names the failure it guards against.
+func TestMachine(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
