admin, burn: Serve the operators' HTTP interface and burn report

Operators edit sections, drain and move instances, grant keys and read status, audit record and burn report over HTTP at any entry instance.

Every edit is one Keeper.Edit; the version, the rights, the findings and the budgets are checked inside the change, against the view that the transaction is conditional on, so that a lost race or a key withdrawn after authentication can't slip through. If-Match is required rather than optional, because an edit without it overwrites others' changes unknowingly. The zones that a document takes out are checked together, since each alone can leave enough instances while both don't; the zones it returns don't count, as their workers come back step by step.

--- /dev/null
+++ b/internal/serve/admin/change.go
@@ -0,0 +1,112 @@
+package admin
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
+)
+
+// change is what an edit makes of the document: sections written and sections removed.
+type change struct {
+	written []fleet.Section
+	removed []string
+}
+
+// items checks a change against a view and returns its items, or the findings as an error.
+// A written section with an unchanged text is left out, so that its version stays.
+func (s *Server) items(v fleet.View, a actor, c change) ([]fleet.Item, error) {
+	before := v.Document()
+	for _, name := range c.names() {
+		if err := a.mayTouch(before, name); err != nil {
+			return nil, err
+		}
+	}
+	after, findings := c.check(v)
+	if len(findings) == 0 {
+		findings = s.budgets(v, after)
+	}
+	if len(findings) > 0 {
+		return nil, findingsError(findings)
+	}
+	for _, name := range c.names() {
+		if err := a.mayLeave(before, after, name); err != nil {
+			return nil, err
+		}
+	}
+	return c.documentItems(v, after), nil
+}
+
+func (c change) names() []string {
+	names := slices.Clone(c.removed)
+	for _, s := range c.written {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func (c change) check(v fleet.View) (fleet.Document, []spec.Finding) {
+	after := v
+	for _, name := range c.removed {
+		after = after.WithoutSection(name)
+	}
+	for _, s := range c.written {
+		after = after.WithSection(s)
+	}
+	d, findings := spec.Decode(after.Sections())
+	return d, append(findings, spec.Stranded(v, d)...)
+}
+
+// budgets checks every zone that the new document takes out, each on top of those before it.
+// Zones that it returns don't count yet, since their workers come back step by step.
+func (s *Server) budgets(v fleet.View, d fleet.Document) []spec.Finding {
+	failed := s.Failed()
+	var findings []spec.Finding
+	for _, z := range zonesOf(d) {
+		if d.Zones[z].State != fleet.ZoneOut || v.Zone(z).State == fleet.ZoneOut {
+			continue
+		}
+		section := fleet.Section{Name: "zone/" + string(z)}
+		findings = append(findings, budget.Zone(v, section, d, failed...)...)
+		v = v.WithZone(z, fleet.ZoneStatus{State: fleet.ZoneOut})
+	}
+	return findings
+}
+
+func (c change) documentItems(v fleet.View, after fleet.Document) []fleet.Item {
+	var items []fleet.Item
+	for _, s := range c.written {
+		if present, ok := v.Section(s.Name); ok && present.Text == s.Text {
+			continue
+		}
+		s.Version = v.Revision() + 1
+		items = append(items, sectionItem(s))
+		items = append(items, zoneItems(v, after, s.Name)...)
+	}
+	for _, name := range c.removed {
+		if _, ok := v.Section(name); ok {
+			items = append(items, sectionRemoval(name))
+			items = append(items, zoneItems(v, after, name)...)
+		}
+	}
+	slices.SortStableFunc(items, func(a, b fleet.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return items
+}
+
+// zoneItems returns the new state of a zone whose section changes; a zone without a section is in service.
+func zoneItems(v fleet.View, after fleet.Document, section string) []fleet.Item {
+	z, ok := spec.ZoneName(section)
+	if !ok {
+		return nil
+	}
+	state := fleet.ZoneIn
+	if s, ok := after.Zones[z]; ok {
+		state = s.State
+	}
+	if v.Zone(z).State == state {
+		return nil
+	}
+	return []fleet.Item{zoneItem(z, fleet.ZoneStatus{State: state, Generation: v.Revision() + 1})}
+}
--- /dev/null
+++ b/internal/serve/admin/document.go
@@ -0,0 +1,120 @@
+package admin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+)
+
+func (s *Server) getDocument(w http.ResponseWriter, _ *http.Request, a actor) error {
+	if err := a.needAdmin(); err != nil {
+		return err
+	}
+	sections := s.Viewer.View().Sections()
+	text, err := spec.EncodeLong(sections)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("ETag", documentTag(sections))
+	w.Header().Set("Content-Type", yamlType)
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = io.WriteString(w, text)
+	return nil
+}
+
+// documentTag returns the ETag of the whole document. The view's revision can't serve, as every change of
+// pool membership advances it. An empty document has version 0, as an absent section does.
+func documentTag(sections []fleet.Section) string {
+	if len(sections) == 0 {
+		return tag(0)
+	}
+	h := xxhash.New()
+	for _, s := range sections {
+		_, _ = fmt.Fprintf(h, "%s %d\n", s.Name, s.Version)
+	}
+	return fmt.Sprintf(`"%016x"`, h.Sum64())
+}
+
+// putDocument replaces the whole document in one transaction; sections that it leaves out are removed.
+func (s *Server) putDocument(w http.ResponseWriter, q *http.Request, a actor) error {
+	if err := a.needAdmin(); err != nil {
+		return err
+	}
+	matches, err := precondition(q)
+	if err != nil {
+		return err
+	}
+	sections, err := readDocument(q)
+	if err != nil {
+		return err
+	}
+	revision, err := s.edit(q, a, func(v fleet.View) ([]fleet.Item, error) {
+		present := documentTag(v.Sections())
+		if !matches(present) {
+			return nil, reject.New(reject.KindConflict, reject.WorkNotRun,
+				"the document is at version %s, the edit is based on %s", present, based(q))
+		}
+		return s.items(v, a, replacement(v, sections))
+	})
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, http.StatusOK, Accepted{Revision: revision})
+}
+
+func readDocument(q *http.Request) ([]fleet.Section, error) {
+	text, err := io.ReadAll(q.Body)
+	if err != nil {
+		return nil, unread(err)
+	}
+	_, sections, findings := spec.DecodeLong(string(text))
+	if len(findings) > 0 {
+		return nil, findingsError(findings)
+	}
+	return sections, nil
+}
+
+func replacement(v fleet.View, sections []fleet.Section) change {
+	c := change{written: sections}
+	kept := map[string]bool{}
+	for _, s := range sections {
+		kept[s.Name] = true
+	}
+	for _, s := range v.Sections() {
+		if !kept[s.Name] {
+			c.removed = append(c.removed, s.Name)
+		}
+	}
+	return c
+}
+
+// Checked is the answer to a check of a document; the document would be accepted now if there are no findings.
+type Checked struct {
+	Findings []spec.Finding `json:"findings"`
+}
+
+// checkDocument checks a whole document against the present pools and budgets without applying it.
+func (s *Server) checkDocument(w http.ResponseWriter, q *http.Request, a actor) error {
+	if err := a.needAdmin(); err != nil {
+		return err
+	}
+	text, err := io.ReadAll(q.Body)
+	if err != nil {
+		return unread(err)
+	}
+	d, _, findings := spec.DecodeLong(string(text))
+	if len(findings) == 0 {
+		v := s.Viewer.View()
+		findings = append(spec.Stranded(v, d), s.budgets(v, d)...)
+	}
+	if findings == nil {
+		findings = []spec.Finding{}
+	}
+	return writeJSON(w, http.StatusOK, Checked{Findings: findings})
+}
--- /dev/null
+++ b/internal/serve/admin/problem.go
@@ -0,0 +1,120 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+)
+
+// Problem is the problem document (RFC 9457) of a refused operator's request.
+type Problem struct {
+	Type   string      `json:"type"`
+	Title  string      `json:"title"`
+	Status int         `json:"status"`
+	Detail string      `json:"detail,omitempty"`
+	Kind   reject.Kind `json:"kind"`
+	// Work is "not-run" if nothing was applied, "run" if the edit is stored and "unknown" if neither is certain.
+	Work     reject.Work    `json:"work"`
+	Findings []spec.Finding `json:"findings,omitempty"`
+	// Revision is that of a stored edit which is not yet confirmed.
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// findingsError refuses an edit because of its findings.
+type findingsError []spec.Finding
+
+// Error returns the number of findings.
+func (f findingsError) Error() string { return fmt.Sprintf("findings: %v", []spec.Finding(f)) }
+
+// editError is a failed edit with the revision it was stored as, if it was.
+type editError struct {
+	revision uint64
+	cause    error
+}
+
+// Error returns the cause's text.
+func (e editError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e editError) Unwrap() error { return e.cause }
+
+// absentError is a refusal because the thing that the path names does not exist.
+type absentError struct{ refusal *reject.Error }
+
+// Error returns the refusal's text.
+func (e absentError) Error() string { return e.refusal.Error() }
+
+// Unwrap returns the refusal.
+func (e absentError) Unwrap() error { return e.refusal }
+
+func asRejection(err error) *reject.Error {
+	var e *reject.Error
+	var findings findingsError
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.As(err, &findings):
+		return reject.New(reject.KindFindings, reject.WorkNotRun, "findings: %d", len(findings))
+	case errors.As(err, &tooLong):
+		return reject.New(reject.KindBody, reject.WorkNotRun, "the body is longer than %d bytes", tooLong.Limit)
+	}
+	return reject.New(reject.KindInternal, reject.WorkUnknown, "internal error").WithCause(err)
+}
+
+// newProblem returns the problem document for an error; the cause of a refusal is left out.
+func newProblem(err error) (Problem, *reject.Error) {
+	var absent absentError
+	var findings findingsError
+	var edit editError
+	e := asRejection(err)
+	p := Problem{Type: "/problems/" + string(e.Kind), Status: e.Status(), Detail: e.Detail, Kind: e.Kind, Work: e.Work}
+	if errors.As(err, &absent) {
+		p.Status = http.StatusNotFound
+	}
+	if errors.As(err, &findings) {
+		p.Findings = findings
+	}
+	if errors.As(err, &edit) && e.Kind == reject.KindUnconfirmed {
+		p.Revision = edit.revision
+	}
+	p.Title = http.StatusText(p.Status)
+	return p, e
+}
+
+func writeProblem(w http.ResponseWriter, err error) {
+	p, e := newProblem(err)
+	h := w.Header()
+	if e.Kind == reject.KindKey {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	write(w, p.Status, "application/problem+json", p)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) error {
+	write(w, status, "application/json", body)
+	return nil
+}
+
+func write(w http.ResponseWriter, status int, media string, body any) {
+	b, err := json.MarshalIndent(body, "", "  ")
+	if err != nil {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	b = append(b, '\n')
+	w.Header().Set("Content-Type", media)
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/internal/serve/admin/report.go
@@ -0,0 +1,112 @@
+package admin
+
+import (
+	"bytes"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
+)
+
+// AuditRecord says who changed what at one revision.
+type AuditRecord struct {
+	Revision uint64    `json:"revision"`
+	Author   string    `json:"author"`
+	Time     time.Time `json:"time"`
+	Keys     []string  `json:"keys"`
+}
+
+// maxAudit is the largest number of audit records in one answer; the store returns them in one scan.
+const maxAudit = 1000
+
+// AuditPage is a part of the audit record, oldest first; the next page begins after the last revision.
+type AuditPage struct {
+	Records []AuditRecord `json:"records"`
+}
+
+func (s *Server) getAudit(w http.ResponseWriter, q *http.Request, a actor) error {
+	if err := a.needAdmin(); err != nil {
+		return err
+	}
+	after, err := number(q, "after", 0)
+	if err != nil {
+		return err
+	}
+	limit, err := number(q, "limit", 100)
+	if err != nil {
+		return err
+	}
+	records, err := s.Audit.Audit(q.Context(), after, int(min(max(limit, 1), maxAudit)))
+	if err != nil {
+		return reject.New(reject.KindStore, reject.WorkNotRun, "the audit record can't be read now").
+			WithRetryAfter(peerTimeout).WithCause(err)
+	}
+	if records == nil {
+		records = []AuditRecord{}
+	}
+	return writeJSON(w, http.StatusOK, AuditPage{Records: records})
+}
+
+func number(q *http.Request, name string, fallback uint64) (uint64, error) {
+	text := q.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, reject.New(reject.KindRequest, reject.WorkNotRun, "%s must be a number, not %q", name, text)
+	}
+	return n, nil
+}
+
+func (s *Server) getBurn(w http.ResponseWriter, q *http.Request, a actor) error {
+	if err := a.needAdmin(); err != nil {
+		return err
+	}
+	v := s.Viewer.View()
+	var counts burn.Counts
+	entries, missing := 0, []fleet.EntryID(nil)
+	for _, r := range s.collect(q.Context(), v) {
+		if !r.ok {
+			missing = append(missing, r.member.ID)
+			continue
+		}
+		entries++
+		counts = counts.Plus(r.counts)
+	}
+	b := burn.NewReport(v.Document(), counts)
+	b.Entries, b.Missing = entries, missing
+	if !strings.HasPrefix(q.Header.Get("Accept"), "text/plain") {
+		return writeJSON(w, http.StatusOK, b)
+	}
+	var text bytes.Buffer
+	if err := b.WriteText(&text); err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = text.WriteTo(w)
+	return nil
+}
+
+func teamsOf(d fleet.Document) []fleet.TeamName { return slices.Sorted(maps.Keys(d.Teams)) }
+
+// allZones returns the zones that have a section, a member of a pool or an entry instance, sorted.
+func allZones(v fleet.View) []fleet.AvailabilityZone {
+	zones := zonesOf(v.Document())
+	for _, p := range v.PoolNames() {
+		for _, m := range v.Pool(p) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	for _, m := range v.Members() {
+		zones = append(zones, m.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
--- /dev/null
+++ b/internal/serve/admin/section.go
@@ -0,0 +1,129 @@
+package admin
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+)
+
+// Accepted is the answer to an edit that is in force.
+type Accepted struct {
+	// Revision is that of the view in which the edit is in force.
+	Revision uint64 `json:"revision"`
+	// Section and Version describe the edited section; Version is 0 after its removal.
+	Section string `json:"section,omitempty"`
+	Version uint64 `json:"version,omitempty"`
+}
+
+func (s *Server) getSection(w http.ResponseWriter, q *http.Request, a actor) error {
+	v, name := s.Viewer.View(), q.PathValue("name")
+	if err := a.mayTouch(v.Document(), name); err != nil {
+		return err
+	}
+	section, ok := v.Section(name)
+	if !ok {
+		return absentError{reject.New(reject.KindRequest, reject.WorkNotRun, "no section %q", name)}
+	}
+	w.Header().Set("ETag", tag(section.Version))
+	w.Header().Set("Content-Type", yamlType)
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = io.WriteString(w, section.Text)
+	return nil
+}
+
+const yamlType = "application/yaml"
+
+func (s *Server) putSection(w http.ResponseWriter, q *http.Request, a actor) error {
+	name := q.PathValue("name")
+	if _, _, err := spec.Split(name); err != nil {
+		return reject.New(reject.KindRequest, reject.WorkNotRun, "%v", err)
+	}
+	text, err := io.ReadAll(q.Body)
+	if err != nil {
+		return unread(err)
+	}
+	return s.editSection(w, q, a, name, change{written: []fleet.Section{{Name: name, Text: string(text)}}})
+}
+
+func (s *Server) deleteSection(w http.ResponseWriter, q *http.Request, a actor) error {
+	name := q.PathValue("name")
+	return s.editSection(w, q, a, name, change{removed: []string{name}})
+}
+
+func (s *Server) editSection(w http.ResponseWriter, q *http.Request, a actor, name string, c change) error {
+	matches, err := precondition(q)
+	if err != nil {
+		return err
+	}
+	unchanged := uint64(0)
+	revision, err := s.edit(q, a, func(v fleet.View) ([]fleet.Item, error) {
+		if err := a.mayTouch(v.Document(), name); err != nil {
+			return nil, err
+		}
+		present, _ := v.Section(name)
+		if !matches(tag(present.Version)) {
+			return nil, reject.New(reject.KindConflict, reject.WorkNotRun,
+				"section %q is at version %d, the edit is based on %s", name, present.Version, based(q))
+		}
+		items, err := s.items(v, a, c)
+		unchanged = 0
+		if len(items) == 0 {
+			unchanged = present.Version
+		}
+		return items, err
+	})
+	if err != nil {
+		return err
+	}
+	answer := Accepted{Revision: revision, Section: name, Version: revision}
+	if unchanged > 0 {
+		answer.Version = unchanged
+	}
+	if len(c.removed) > 0 {
+		answer.Version = 0
+	}
+	w.Header().Set("ETag", tag(answer.Version))
+	return writeJSON(w, http.StatusOK, answer)
+}
+
+// tag returns the ETag of a version; an absent section has version 0.
+func tag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+// precondition returns a check of the present ETag by the request's If-Match or If-None-Match.
+// One of them is required, so that no operator overwrites another's change unknowingly; If-Match: * overwrites.
+func precondition(q *http.Request) (func(etag string) bool, error) {
+	match, none := strings.TrimSpace(q.Header.Get("If-Match")), strings.TrimSpace(q.Header.Get("If-None-Match"))
+	switch {
+	case match == "*":
+		return func(string) bool { return true }, nil
+	case match != "":
+		return func(etag string) bool { return etag == match }, nil
+	case none == "*":
+		return func(etag string) bool { return etag == tag(0) }, nil
+	}
+	return nil, reject.New(reject.KindRequest, reject.WorkNotRun,
+		"If-Match with the version the edit is based on is required; use If-None-Match: * for a new section")
+}
+
+func based(q *http.Request) string {
+	if m := q.Header.Get("If-Match"); m != "" {
+		return "version " + strings.Trim(m, `"`)
+	}
+	return "version 0 (absent)"
+}
+
+func unread(err error) error {
+	if e := asRejection(err); e.Kind == reject.KindBody {
+		return e
+	}
+	return reject.New(reject.KindRequest, reject.WorkNotRun, "the body could not be read").WithCause(err)
+}
+
+func zonesOf(d fleet.Document) []fleet.AvailabilityZone { return slices.Sorted(maps.Keys(d.Zones)) }
--- /dev/null
+++ b/internal/serve/admin/status.go
@@ -0,0 +1,241 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
+	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// peerTimeout bounds the wait for the status of one entry instance.
+const peerTimeout = 2 * time.Second
+
+// EntryStatus is what an entry instance reports of itself.
+type EntryStatus struct {
+	Entry    fleet.EntryID `json:"entry"`
+	Revision uint64        `json:"revision"`
+	// Fresh says whether the entry instance may start tasks.
+	Fresh bool         `json:"fresh"`
+	Teams []TeamLoad   `json:"teams,omitempty"`
+	Zones []ZoneLoad   `json:"zones,omitempty"`
+	Steps []ZoneReturn `json:"steps,omitempty"`
+}
+
+// TeamLoad is a team's work at one entry instance, in slots.
+type TeamLoad struct {
+	Team    fleet.TeamName `json:"team"`
+	Running int            `json:"running"`
+	Waiting int            `json:"waiting"`
+	// Granted is the part of the team's ceiling that the entry instance holds.
+	Granted int `json:"granted"`
+}
+
+// ZoneLoad is the number of tasks that an entry instance has running in an availability zone.
+type ZoneLoad struct {
+	Zone    fleet.AvailabilityZone `json:"zone"`
+	Running int                    `json:"running"`
+}
+
+// ZoneReturn is how far an availability zone has come back into service in one pool.
+type ZoneReturn struct {
+	Pool       fleet.PoolName         `json:"pool"`
+	Zone       fleet.AvailabilityZone `json:"zone"`
+	Generation uint64                 `json:"generation"`
+	// State is "settling", "probing", "ramping" or "in"; Percent is the part of the zone's slots in use.
+	State   string `json:"state"`
+	Percent int    `json:"percent"`
+}
+
+// Status is the state of the whole fleet as the entry instances report it.
+type Status struct {
+	Revision uint64       `json:"revision"`
+	Entries  []EntryLine  `json:"entries"`
+	Pools    []PoolStatus `json:"pools"`
+	Zones    []ZoneStatus `json:"zones"`
+	Teams    []TeamStatus `json:"teams"`
+}
+
+// EntryLine is one registered entry instance.
+type EntryLine struct {
+	Entry fleet.EntryID          `json:"entry"`
+	Zone  fleet.AvailabilityZone `json:"zone"`
+	// Reachable says whether the entry instance reported; Revision and Fresh are its own words.
+	Reachable bool   `json:"reachable"`
+	Revision  uint64 `json:"revision"`
+	Fresh     bool   `json:"fresh"`
+}
+
+// PoolStatus is the membership of a pool.
+type PoolStatus struct {
+	Pool      fleet.PoolName `json:"pool"`
+	Min       int            `json:"min"`
+	Members   int            `json:"members"`
+	Available int            `json:"available"`
+	// Version is the system version of the roll-out; Current counts the members that reported it.
+	Version string `json:"version,omitempty"`
+	Current int    `json:"current"`
+	// Changing lists the members that are not active.
+	Changing []fleet.PoolMember `json:"changing"`
+}
+
+// ZoneStatus is the state of an availability zone.
+type ZoneStatus struct {
+	Zone       fleet.AvailabilityZone `json:"zone"`
+	State      fleet.ZoneState        `json:"state"`
+	Generation uint64                 `json:"generation"`
+	Running    int                    `json:"running"`
+	Returns    []ZoneReturn           `json:"returns"`
+}
+
+// TeamStatus is a team's work across the fleet, in slots.
+type TeamStatus struct {
+	Team    fleet.TeamName `json:"team"`
+	Share   int            `json:"share"`
+	Ceiling int            `json:"ceiling"`
+	Running int            `json:"running"`
+	Waiting int            `json:"waiting"`
+	Granted int            `json:"granted"`
+}
+
+// HandleStatus answers another entry instance's question for this one's status and counts.
+func (s *Server) HandleStatus(context.Context, peer.StatusRequest) (peer.StatusReply, error) {
+	status, err := json.Marshal(s.Local.EntryStatus())
+	if err != nil {
+		return peer.StatusReply{}, err
+	}
+	counts, err := json.Marshal(s.Burn.Counts())
+	return peer.StatusReply{From: s.Self(), Status: status, Burn: counts}, err
+}
+
+// report is what one member of the view reported; ok is false if it could not be asked.
+type report struct {
+	member fleet.Member
+	status EntryStatus
+	counts burn.Counts
+	ok     bool
+}
+
+// collect asks every member at once; a member without an answer after peerTimeout is reported as such.
+func (s *Server) collect(ctx context.Context, v fleet.View) []report {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reports := make([]report, len(v.Members()))
+	var g errgroup.Group
+	for i, m := range v.Members() {
+		g.Go(func() error {
+			reports[i] = s.ask(ctx, m)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return reports
+}
+
+func (s *Server) ask(ctx context.Context, m fleet.Member) report {
+	r := report{member: m}
+	if m.ID == s.Self() {
+		r.status, r.counts, r.ok = s.Local.EntryStatus(), s.Burn.Counts(), true
+		return r
+	}
+	reply, err := s.Peers.Status(ctx, m)
+	if err != nil || json.Unmarshal(reply.Status, &r.status) != nil || json.Unmarshal(reply.Burn, &r.counts) != nil {
+		return report{member: m}
+	}
+	r.ok = true
+	return r
+}
+
+func (s *Server) getStatus(w http.ResponseWriter, q *http.Request, a actor) error {
+	if err := a.needAdmin(); err != nil {
+		return err
+	}
+	v := s.Viewer.View()
+	return writeJSON(w, http.StatusOK, summarize(v, s.collect(q.Context(), v), s.Failed()))
+}
+
+func summarize(v fleet.View, reports []report, failed []fleet.InstanceID) Status {
+	s := Status{Revision: v.Revision(), Entries: []EntryLine{}, Pools: []PoolStatus{}, Zones: []ZoneStatus{}, Teams: []TeamStatus{}}
+	for _, r := range reports {
+		s.Entries = append(s.Entries, EntryLine{Entry: r.member.ID, Zone: r.member.Zone, Reachable: r.ok,
+			Revision: r.status.Revision, Fresh: r.status.Fresh})
+	}
+	for _, p := range v.PoolNames() {
+		s.Pools = append(s.Pools, poolStatus(v, p, failed))
+	}
+	for _, z := range allZones(v) {
+		s.Zones = append(s.Zones, zoneStatus(v, z, reports))
+	}
+	for _, t := range teamsOf(v.Document()) {
+		s.Teams = append(s.Teams, teamStatus(v, t, reports))
+	}
+	return s
+}
+
+func poolStatus(v fleet.View, p fleet.PoolName, failed []fleet.InstanceID) PoolStatus {
+	section := v.Document().Pools[p]
+	s := PoolStatus{Pool: p, Min: section.Min, Version: section.Version, Available: budget.Available(v, p, failed...),
+		Changing: []fleet.PoolMember{}}
+	for _, m := range v.Pool(p) {
+		s.Members++
+		if section.Version != "" && m.Version == section.Version {
+			s.Current++
+		}
+		if m.State != fleet.InstanceActive {
+			s.Changing = append(s.Changing, m)
+		}
+	}
+	return s
+}
+
+func zoneStatus(v fleet.View, z fleet.AvailabilityZone, reports []report) ZoneStatus {
+	present := v.Zone(z)
+	s := ZoneStatus{Zone: z, State: present.State, Generation: present.Generation, Returns: []ZoneReturn{}}
+	for _, r := range reports {
+		for _, l := range r.status.Zones {
+			if l.Zone == z {
+				s.Running += l.Running
+			}
+		}
+		for _, step := range r.status.Steps {
+			if step.Zone == z && step.Generation == present.Generation {
+				s.Returns = merged(s.Returns, step)
+			}
+		}
+	}
+	return s
+}
+
+// merged keeps the least advanced report of each pool, because entry instances learn of steps one after the other.
+func merged(returns []ZoneReturn, step ZoneReturn) []ZoneReturn {
+	for i, r := range returns {
+		if r.Pool == step.Pool {
+			if step.Percent < r.Percent {
+				returns[i] = step
+			}
+			return returns
+		}
+	}
+	return append(returns, step)
+}
+
+func teamStatus(v fleet.View, t fleet.TeamName, reports []report) TeamStatus {
+	section := v.Document().Teams[t]
+	s := TeamStatus{Team: t, Share: section.Share, Ceiling: section.Ceiling}
+	for _, r := range reports {
+		for _, l := range r.status.Teams {
+			if l.Team == t {
+				s.Running += l.Running
+				s.Waiting += l.Waiting
+				s.Granted += l.Granted
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/serve/burn/burn.go
@@ -0,0 +1,101 @@
+// Package burn counts requests against the objectives of their queues and reports how fast they use up
+// their error budgets.
+package burn
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+)
+
+// Recorder counts the requests of one entry instance in rolling windows.
+type Recorder struct {
+	start time.Time
+
+	mu     sync.Mutex
+	queues map[fleet.QueueName]*[len(windowLengths)]*window
+}
+
+// NewRecorder returns a recorder without counts.
+func NewRecorder() *Recorder {
+	return &Recorder{start: time.Now(), queues: map[fleet.QueueName]*[len(windowLengths)]*window{}}
+}
+
+// Record counts one request of a queue by the time from its submission to its answer.
+// Requests that were refused through the caller's own fault or cancelled are not counted; a task that ran and
+// failed was answered, and every other refusal is bad.
+func (r *Recorder) Record(q fleet.QueueName, s fleet.QueueSection, took time.Duration, err error) {
+	var refusal *reject.Error
+	answered := err == nil
+	if errors.As(err, &refusal) {
+		if isCallers(refusal.Kind) {
+			return
+		}
+		answered = refusal.Kind == reject.KindFailed
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.windows(q) {
+		w.count(time.Since(r.start), answered && took <= s.Within)
+	}
+}
+
+func isCallers(k reject.Kind) bool {
+	switch k {
+	case reject.KindKey, reject.KindForbidden, reject.KindQueue, reject.KindTask, reject.KindRequest, reject.KindBody,
+		reject.KindImpossible, reject.KindCancelled:
+		return true
+	}
+	return false
+}
+
+func (r *Recorder) windows(q fleet.QueueName) *[len(windowLengths)]*window {
+	if _, ok := r.queues[q]; !ok {
+		var w [len(windowLengths)]*window
+		for i, d := range windowLengths {
+			w[i] = newWindow(d)
+		}
+		r.queues[q] = &w
+	}
+	return r.queues[q]
+}
+
+// Counts is the tallies of queues in the order of the windows; it is what entry instances exchange.
+type Counts map[fleet.QueueName][]Tally
+
+// Counts returns the present tallies.
+func (r *Recorder) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Counts{}
+	for q, windows := range r.queues {
+		for _, w := range windows {
+			c[q] = append(c[q], w.sum(time.Since(r.start)))
+		}
+	}
+	return c
+}
+
+// Plus returns the sums of two counts. Tallies of windows that this program does not know are left out.
+func (c Counts) Plus(o Counts) Counts {
+	sum := Counts{}
+	for _, counts := range []Counts{c, o} {
+		for q, tallies := range counts {
+			if sum[q] == nil {
+				sum[q] = make([]Tally, len(windowLengths))
+			}
+			for i := range min(len(tallies), len(windowLengths)) {
+				sum[q][i] = sum[q][i].plus(tallies[i])
+			}
+		}
+	}
+	return sum
+}
+
+// queuesOf returns the queues of a document sorted by name.
+func queuesOf(d fleet.Document) []fleet.QueueName { return slices.Sorted(maps.Keys(d.Queues)) }
