--- /dev/null
+++ b/internal/plan/budget/batch.go
@@ -0,0 +1,59 @@
+package budget
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+// Step is one change of the view.
+type Step func(fleet.View) ([]fleet.Item, error)
+
+// Batch joins steps into one transaction. Each step sees the changes of those before it; a step that is refused
+// leaves the others in force. The refusals are returned only if every step was refused.
+func Batch(v fleet.View, steps ...Step) ([]fleet.Item, error) {
+	latest := map[string]int{}
+	var items []fleet.Item
+	var refusals []error
+	for _, step := range steps {
+		changed, err := step(v)
+		if err != nil {
+			refusals = append(refusals, err)
+			continue
+		}
+		if v, err = Apply(v, changed); err != nil {
+			return nil, err
+		}
+		for _, i := range changed {
+			if n, ok := latest[i.Key]; ok {
+				items[n] = i
+				continue
+			}
+			latest[i.Key] = len(items)
+			items = append(items, i)
+		}
+	}
+	if len(items) == 0 {
+		return nil, errors.Join(refusals...)
+	}
+	return items, nil
+}
+
+// Apply returns the view with the pool items of this package applied; its revision stays the same.
+func Apply(v fleet.View, items []fleet.Item) (fleet.View, error) {
+	for _, i := range items {
+		name, ok := strings.CutPrefix(i.Key, poolPrefix)
+		if !ok {
+			return v, fmt.Errorf("budget: item %q is not a pool", i.Key)
+		}
+		var members []fleet.PoolMember
+		if err := json.Unmarshal(i.Value, &members); err != nil {
+			return v, fmt.Errorf("budget: item %q: %w", i.Key, err)
+		}
+		v = v.WithPool(fleet.PoolName(name), members)
+	}
+	return v, nil
+}
--- a/internal/plan/budget/budget.go
+++ b/internal/plan/budget/budget.go
@@ -6,6 +6,10 @@
 // a return of their zone, are given as failed and don't count. Planned work may not take a pool below its min;
 // a change that leaves the number of available instances as it is, such as maintenance in a zone that is out,
 // is allowed at any time.
+//
+// The meaning of a member's Target depends on its state. Draining without a target is an operator's hold until
+// Undrain. Draining or rebooting with a target is planned work, which ends in that pool. Active with a target means
+// that the instance is lent: it came from that spare pool and is to return there.
 package budget
 
 import (
@@ -42,7 +46,8 @@
 	return drain(v, id, "", failed)
 }
 
-// Renew takes an instance out of service for a reboot, after which it returns to its pool.
+// Renew takes an instance out of service for a reboot, after which it returns to its pool. A lent instance goes
+// back to its spare pool instead, since its return would cost another drain and reboot.
 // It refuses an instance that is drained until Undrain or moves to another pool.
 func Renew(v fleet.View, id fleet.InstanceID, failed ...fleet.InstanceID) ([]fleet.Item, error) {
 	p, m, err := find(v, id)
@@ -52,9 +57,18 @@
 	if m.State == fleet.InstanceDraining && m.Target != p {
 		return nil, wrongState(m, "is being drained for another reason")
 	}
+	if home, ok := Home(v, p, m); ok {
+		return drain(v, id, home, failed)
+	}
 	return drain(v, id, p, failed)
 }
 
+// Home returns the spare pool that a member of a pool is lent from or, while it is on its way, was lent from.
+func Home(v fleet.View, p fleet.PoolName, m fleet.PoolMember) (fleet.PoolName, bool) {
+	pools := v.Document().Pools
+	return m.Target, m.Target != "" && pools[m.Target].Spare && !pools[p].Spare
+}
+
 // Move takes an instance out of service for a reboot, after which it becomes a member of the target pool.
 // Until then it stays a member of its present pool.
 func Move(v fleet.View, id fleet.InstanceID, target fleet.PoolName, failed ...fleet.InstanceID) ([]fleet.Item, error) {
@@ -88,6 +102,7 @@
 }
 
 // Undrain returns a draining instance to service in its pool and gives up its reboot or move.
+// A lent instance thereby becomes an ordinary member of the pool it was lent to.
 func Undrain(v fleet.View, id fleet.InstanceID) ([]fleet.Item, error) {
 	p, m, err := find(v, id)
 	if err != nil {
@@ -115,7 +130,8 @@
 }
 
 // Activate returns a rebooted instance to service with the version it reported, as a member of the pool it moves to.
-// If that pool has been removed meanwhile, the instance stays in its present one.
+// If that pool has been removed meanwhile, the instance stays in its present one. An instance that leaves a
+// spare pool is lent.
 func Activate(v fleet.View, id fleet.InstanceID, version string) ([]fleet.Item, error) {
 	p, m, err := find(v, id)
 	if err != nil {
@@ -129,12 +145,25 @@
 	if _, ok := v.Document().Pools[target]; !ok || target == p {
 		return replace(v, p, m), nil
 	}
+	if pools := v.Document().Pools; pools[p].Spare && !pools[target].Spare {
+		m.Target = p
+	}
 	return []fleet.Item{
 		poolItem(p, without(v.Pool(p), id)),
 		poolItem(target, with(v.Pool(target), m)),
 	}, nil
 }
 
+// Record notes the version that an instance reported.
+func Record(v fleet.View, id fleet.InstanceID, version string) ([]fleet.Item, error) {
+	p, m, err := find(v, id)
+	if err != nil {
+		return nil, err
+	}
+	m.Version = version
+	return replace(v, p, m), nil
+}
+
 func find(v fleet.View, id fleet.InstanceID) (fleet.PoolName, fleet.PoolMember, error) {
 	p, ok := v.PoolOf(id)
 	if !ok {
--- a/internal/plan/budget/budget_test.go
+++ b/internal/plan/budget/budget_test.go
@@ -1,7 +1,6 @@
 package budget_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -17,15 +16,11 @@
 
 // apply stands for the table: items of pools replace the membership.
 func apply(t interface{ Fatal(...any) }, v fleet.View, items []fleet.Item) fleet.View {
-	for _, i := range items {
-		name, ok := strings.CutPrefix(i.Key, "view/pool/")
-		var members []fleet.PoolMember
-		if err := json.Unmarshal(i.Value, &members); err != nil || !ok {
-			t.Fatal("item", i.Key, err)
-		}
-		v = v.WithPool(fleet.PoolName(name), members)
+	after, err := budget.Apply(v, items)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return v.WithRevision(v.Revision() + 1)
+	return after.WithRevision(v.Revision() + 1)
 }
 
 func fleetOf(pools, perPool, zones, least int) fleet.View {
@@ -50,7 +45,7 @@
 	for _, p := range v.PoolNames() {
 		fmt.Fprintf(&b, "%s: available %d min %d\n", p, budget.Available(v, p), v.Document().Pools[p].Min)
 		for _, m := range v.Pool(p) {
-			if m.State != fleet.InstanceActive || m.Version != "" {
+			if m.State != fleet.InstanceActive || m.Version != "" || m.Target != "" {
 				fmt.Fprintf(&b, "  %s %s target=%q version=%q\n", m.ID, m.State, m.Target, m.Version)
 			}
 		}
@@ -72,6 +67,11 @@
 				v = fleetOf(pools, instances, zones, least)
 				return show(v)
 			}
+			if c.Cmd == "spare" {
+				d := v.Document()
+				d.Pools[fleet.PoolName(c.CmdArgs[0].Key)] = fleet.PoolSection{Spare: true}
+				return ""
+			}
 			if c.Cmd == "zone" {
 				return zone(c, &v)
 			}
@@ -247,6 +247,7 @@
 // Guards against a bootstrap that puts every instance in one pool or leaves a pool without a zone.
 func TestJoinSpreads(t *testing.T) {
 	v := fleetOf(5, 0, 1, 8)
+	v.Document().Pools["p4"] = fleet.PoolSection{Spare: true}
 	var listings []roster.Listing
 	for i := range 50 {
 		listings = append(listings, roster.Listing{ID: fleet.InstanceID(fmt.Sprintf("w%02d", i)), Kind: roster.Worker,
@@ -270,3 +271,21 @@
 		t.Errorf("gone %v, want w00 only: w01 is listed and other is no member", gone)
 	}
 }
+
+// Guards against a batch whose steps overlook each other's use of the budget or that fails as a whole.
+func TestBatch(t *testing.T) {
+	v := fleetOf(1, 4, 2, 2)
+	step := func(id fleet.InstanceID) budget.Step {
+		return func(v fleet.View) ([]fleet.Item, error) { return budget.Renew(v, id) }
+	}
+	items, err := budget.Batch(v, step("w0-0"), step("nobody"), step("w0-1"), step("w0-2"))
+	if err != nil || len(items) != 1 {
+		t.Fatalf("%d items, error %v, want one item for the one pool", len(items), err)
+	}
+	if n := budget.Available(apply(t, v, items), "p0"); n != 2 {
+		t.Errorf("%d available, want the min of 2", n)
+	}
+	if _, err := budget.Batch(v, step("nobody")); err == nil {
+		t.Error("a batch of refusals has no error")
+	}
+}
--- a/internal/plan/budget/items.go
+++ b/internal/plan/budget/items.go
@@ -8,6 +8,8 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 )
 
+const poolPrefix = "view/pool/"
+
 // poolItem returns the item that replaces a pool's membership.
 func poolItem(p fleet.PoolName, members []fleet.PoolMember) fleet.Item {
 	slices.SortFunc(members, func(a, b fleet.PoolMember) int { return cmp.Compare(a.ID, b.ID) })
@@ -15,7 +17,7 @@
 	if err != nil {
 		panic(err) // a PoolMember holds strings and integers only
 	}
-	return fleet.Item{Key: "view/pool/" + string(p), Value: b}
+	return fleet.Item{Key: poolPrefix + string(p), Value: b}
 }
 
 func replace(v fleet.View, p fleet.PoolName, m fleet.PoolMember) []fleet.Item {
--- a/internal/plan/budget/roster.go
+++ b/internal/plan/budget/roster.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -8,8 +9,8 @@
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 )
 
-// Join makes listed live workers that are in no pool members of the pools that have the fewest of their min.
-// Instances of a zone are spread over the pools first, so that the loss of a zone costs every pool the same.
+// Join makes listed live workers that are in no pool members of the pools that are below their min, then of the
+// smallest ones. Instances of a zone are spread over the pools, so that the loss of a zone costs every pool the same.
 // It returns no items if there is nothing to do.
 func Join(v fleet.View, listings []roster.Listing) []fleet.Item {
 	c := newChange(v)
@@ -131,22 +132,25 @@
 	c.set(p, m)
 }
 
-// emptiest returns the pool of the document with the fewest members of a zone in proportion to its min,
-// then with the fewest members at all, then the first by name.
+// emptiest returns the pool of the document that a new instance of a zone joins. Pools below their min come first.
+// Among those the one with the fewest members of the zone is chosen, then the one that lacks most of its min,
+// then the one with the fewest members, then the first by name.
 func (c *change) emptiest(z fleet.AvailabilityZone) (fleet.PoolName, bool) {
-	var best fleet.PoolName
-	found := false
-	for _, p := range slices.Sorted(maps.Keys(c.view.Document().Pools)) {
-		if !found || c.fill(p, z) < c.fill(best, z) || c.fill(p, z) == c.fill(best, z) && c.fill(p, "") < c.fill(best, "") {
-			best, found = p, true
-		}
+	pools := slices.Sorted(maps.Keys(c.view.Document().Pools))
+	if len(pools) == 0 {
+		return "", false
 	}
-	return best, found
+	return slices.MinFunc(pools, func(a, b fleet.PoolName) int {
+		return cmp.Or(cmp.Compare(min(c.lack(b), 1), min(c.lack(a), 1)),
+			cmp.Compare(c.counts[poolZone{a, z}], c.counts[poolZone{b, z}]),
+			cmp.Compare(c.lack(b), c.lack(a)),
+			cmp.Compare(c.counts[poolZone{a, ""}], c.counts[poolZone{b, ""}]))
+	}), true
 }
 
-// fill returns the members of a pool in a zone ("" for all zones) in proportion to its min.
-func (c *change) fill(p fleet.PoolName, z fleet.AvailabilityZone) float64 {
-	return float64(c.counts[poolZone{p, z}]) / float64(1+c.view.Document().Pools[p].Min)
+// lack returns how many members a pool is short of its min.
+func (c *change) lack(p fleet.PoolName) int {
+	return max(0, c.view.Document().Pools[p].Min-c.counts[poolZone{p, ""}])
 }
 
 func (c *change) items() []fleet.Item {
