node: Mount the operators' interface, maintenance and reachability

The entry instance now serves the operators' interface beside the callers', follows the roster, rolls pools to their version and reports its status to its peers. Unreachable instances of the pools it leads count as unavailable in planned work; instances of other pools are not known here yet.

--- a/internal/serve/node/http.go
+++ b/internal/serve/node/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -10,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/serve/caller"
-	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
 const (
@@ -24,40 +22,11 @@
 func (n *Node) server(life context.Context) *http.Server {
 	mux := http.NewServeMux()
 	api := caller.New(n.runner, n.keeper, caller.WithLog(n.part("caller")), caller.WithRegistry(n.registry),
-		caller.WithBodyTimeout(n.settings.bodyTimeout)).Handler()
+		caller.WithBodyTimeout(n.settings.bodyTimeout), caller.WithObserver(observer{n.burn, n.keeper})).Handler()
 	mux.Handle("/v1/queues/", api)
 	mux.Handle("/v1/tasks/", api)
-	mux.Handle("/", n.operators())
+	mux.Handle("/", n.admin)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, BaseContext: func(net.Listener) context.Context { return life },
 		ErrorLog: zap.NewStdLog(n.part("http"))}
 }
-
-// operators returns the handler for operators, health and metrics.
-func (n *Node) operators() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if err := n.ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
-	return mux
-}
-
-func (n *Node) handleStatus(*peer.Server) {}
-
-var errShuttingDown = errors.New("shutting down")
-
-// ready says why this instance should get no requests, or nil.
-func (n *Node) ready() error {
-	switch {
-	case n.stopping.Load():
-		return errShuttingDown
-	case !n.registrar.Registered():
-		return errors.New("not registered")
-	}
-	return n.keeper.Fresh()
-}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -17,10 +17,14 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plan/upkeep"
 	"github.com/yuccahaven/yuccahaven/internal/plat/object"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
+	"github.com/yuccahaven/yuccahaven/internal/sched/alloc"
+	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
+	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
 	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
 	"github.com/yuccahaven/yuccahaven/internal/state/claim"
 	"github.com/yuccahaven/yuccahaven/internal/state/grant"
@@ -49,6 +53,11 @@
 	runner    *runner.Runner
 	scheduler *scheduler
 	watch     *watch
+	reach     *reach
+	upkeep    *upkeep.Planner
+	follower  *upkeep.Follower
+	burn      *burn.Recorder
+	admin     *admin.Server
 	stopping  atomic.Bool
 }
 
@@ -103,11 +112,33 @@
 	n.book = grant.New(self, n.keeper, t, n.peers, grant.WithLog(n.part("grant")), grant.WithMetrics(n.registry))
 	n.ledger = claim.New(func() fleet.EntryID { return n.registrar.Self().ID }, t, o, claim.WithLog(n.part("claim")),
 		claim.WithMetrics(n.registry))
-	n.watch = &watch{roster: l, views: n.keeper, registrar: n.registrar, log: n.part("roster")}
+	n.watch = &watch{roster: l, log: n.part("roster")}
+	n.reach = &reach{views: n.keeper, prober: w, leads: n.leads}
 	n.runner = runner.New(runner.Parts{Views: n.keeper, Workers: w, Grants: n.book, Records: n.ledger, Objects: o,
 		Members: n.registrar, Roster: n.watch, Owners: owners{n.peers}, Log: n.part("runner"), Metrics: n.registry})
 	n.scheduler = &scheduler{views: n.keeper, prober: w, source: n.runner, peers: n.peers}
 	n.runner.Attach(n.scheduler)
+	n.upkeep = upkeep.New(upkeep.Options{Keeper: n.keeper, Prober: w, Platform: l, Leads: n.leads, Failed: n.reach.failed,
+		Log: n.part("upkeep")})
+	n.follower = upkeep.NewFollower(upkeep.FollowerOptions{Keeper: n.keeper, Roster: l,
+		Leads: func() bool { return n.leads(fleetDuty) }, Failed: n.reach.failed, Log: n.part("upkeep")})
+	n.burn = burn.NewRecorder()
+	n.admin = n.operators()
+}
+
+// fleetDuty is the name by which the entry instance is chosen for duties that concern no single pool. No pool has
+// it, since it is not a name.
+const fleetDuty fleet.PoolName = "*"
+
+// leads reports whether this instance is the first of the live members in rank for a pool. Two at a time do no harm:
+// their edits are conditional on the revision.
+func (n *Node) leads(p fleet.PoolName) bool {
+	for _, m := range alloc.Rank(n.keeper.View().Members(), p) {
+		if n.registrar.Alive(m.ID) {
+			return m.ID == n.registrar.Self().ID
+		}
+	}
+	return false
 }
 
 // part returns the log of a part, whose lines begin with its name.
@@ -198,7 +229,7 @@
 func (n *Node) start(ctx context.Context, parts *sync.WaitGroup) {
 	n.scheduler.restart(ctx, n.registrar.Self().ID)
 	for _, run := range []func(context.Context){n.keeper.Run, n.registrar.Run, n.book.Run, n.ledger.Run, n.runner.Run,
-		n.watch.run, n.sweepRecords, n.servePeers} {
+		n.watch.run, n.reach.run, n.upkeep.Run, n.follower.Run, n.sweepRecords, n.servePeers} {
 		parts.Go(func() { run(ctx) })
 	}
 }
@@ -214,7 +245,7 @@
 		case <-t.C:
 		}
 		live := func(id fleet.EntryID) bool { _, ok := n.keeper.View().Member(id); return ok }
-		responsible := func(fleet.EntryID) bool { return n.watch.onDuty() }
+		responsible := func(fleet.EntryID) bool { return n.leads(fleetDuty) }
 		if err := n.ledger.Sweep(ctx, live, responsible); err != nil {
 			n.log.Warn("claim: old records not deleted", zap.Error(err))
 		}
@@ -228,7 +259,7 @@
 	peer.Handle(s, peer.MethodNudge, n.book.HandleNudge)
 	peer.Handle(s, peer.MethodPoll, n.scheduler.poll)
 	peer.Handle(s, peer.MethodTask, n.runner.HandleTask)
-	n.handleStatus(s)
+	peer.Handle(s, peer.MethodStatus, n.admin.HandleStatus)
 	l := n.peerAt
 	if n.peerTLS != nil {
 		l = tls.NewListener(l, n.peerTLS.forPeerServer())
--- /dev/null
+++ b/internal/serve/node/operators.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
+	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
+	"github.com/yuccahaven/yuccahaven/internal/serve/caller"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// Version is the version of the program; the build sets it.
+var Version = "dev"
+
+// operators returns the HTTP interface for operators, with health and metrics.
+func (n *Node) operators() *admin.Server {
+	return admin.New(admin.Options{
+		Self:    func() fleet.EntryID { return n.registrar.Self().ID },
+		Viewer:  n.keeper,
+		Editor:  n.keeper,
+		Audit:   auditor{n.keeper},
+		Local:   n,
+		Peers:   statusPeers{n},
+		Burn:    n.burn,
+		Token:   n.settings.AdminToken,
+		Failed:  n.reach.failed,
+		Ready:   n.ready,
+		Metrics: n.registry,
+		Log:     n.part("admin"),
+		Version: Version,
+	})
+}
+
+type auditor struct{ keeper *view.Keeper }
+
+// Audit implements admin.Auditor.
+func (a auditor) Audit(ctx context.Context, after uint64, limit int) ([]admin.AuditRecord, error) {
+	found, err := a.keeper.Audit(ctx, after, limit)
+	records := make([]admin.AuditRecord, 0, len(found))
+	for _, r := range found {
+		records = append(records, admin.AuditRecord(r))
+	}
+	return records, err
+}
+
+type statusPeers struct{ node *Node }
+
+// Status implements admin.Peers.
+func (s statusPeers) Status(ctx context.Context, m fleet.Member) (peer.StatusReply, error) {
+	return peer.Call(ctx, s.node.peers, m.Address, peer.MethodStatus,
+		peer.StatusRequest{From: s.node.registrar.Self().ID})
+}
+
+// EntryStatus implements admin.Local.
+func (n *Node) EntryStatus() admin.EntryStatus {
+	v := n.keeper.View()
+	load := n.runner.Load()
+	s := admin.EntryStatus{Entry: n.registrar.Self().ID, Revision: v.Revision(), Fresh: n.keeper.Fresh() == nil}
+	for _, t := range slices.Sorted(maps.Keys(v.Document().Teams)) {
+		s.Teams = append(s.Teams, admin.TeamLoad{Team: t, Running: load.Running[t], Waiting: load.Waiting[t],
+			Granted: n.book.Held(t)})
+	}
+	for _, z := range slices.Sorted(maps.Keys(load.Zones)) {
+		s.Zones = append(s.Zones, admin.ZoneLoad{Zone: z, Running: load.Zones[z]})
+	}
+	s.Steps = n.scheduler.returns(v)
+	return s
+}
+
+// observer passes answered submissions to the burn report.
+type observer struct {
+	burn  *burn.Recorder
+	views *view.Keeper
+}
+
+// Observe implements caller.Observer. Asynchronous jobs have no caller that waits, so their acceptance tells nothing
+// about the time to the answer.
+func (o observer) Observe(x caller.Observation) {
+	q, ok := o.views.View().Document().Queues[x.Queue]
+	if !ok || x.Accepted {
+		return
+	}
+	var err error
+	if x.Kind != "" {
+		err = reject.New(x.Kind, reject.WorkUnknown, "")
+	}
+	o.burn.Record(x.Queue, q, x.Took, err)
+}
+
+var errShuttingDown = errors.New("shutting down")
+
+// ready says why this instance should get no requests, or nil.
+func (n *Node) ready() error {
+	switch {
+	case n.stopping.Load():
+		return errShuttingDown
+	case !n.registrar.Registered():
+		return errors.New("not registered")
+	}
+	return n.keeper.Fresh()
+}
--- a/internal/serve/runner/attempt.go
+++ b/internal/serve/runner/attempt.go
@@ -17,7 +17,7 @@
 	slots    int
 	expires  time.Time // of the permits, for the reservation
 
-	// Set before the start by the goroutine that runs the task.
+	// Set before the start by the goroutine that runs the task; other goroutines read address and zone under mu.
 	address string
 	zone    fleet.AvailabilityZone
 	boot    string      // of the worker, at or before the reservation; "" if not known
@@ -30,6 +30,20 @@
 	halted  bool      // no more renewals: the task is to end
 }
 
+// place notes where the worker is.
+func (a *attempt) place(m fleet.PoolMember) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.address, a.zone = m.Address, m.Zone
+}
+
+// startedIn returns the availability zone of an attempt whose start was sent.
+func (a *attempt) startedIn() (fleet.AvailabilityZone, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.zone, !a.renewed.IsZero()
+}
+
 // sending notes that a start or renewal is about to be sent.
 func (a *attempt) sending() {
 	a.mu.Lock()
--- a/internal/serve/runner/drain.go
+++ b/internal/serve/runner/drain.go
@@ -62,21 +62,6 @@
 	}
 }
 
-// Counts returns how many tasks wait and run here.
-func (r *Runner) Counts() (waiting, running int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, t := range r.tasks {
-		switch t.progress().Phase {
-		case PhaseWaiting:
-			waiting++
-		case PhaseRunning:
-			running++
-		}
-	}
-	return waiting, running
-}
-
 // AwaitEnd waits until every task that Drop gave up on has ended at its worker or run out its lease.
 func (r *Runner) AwaitEnd(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/serve/runner/reserve.go
+++ b/internal/serve/runner/reserve.go
@@ -44,7 +44,7 @@
 		r.finish(a, "", 0)
 		return waiting{}
 	}
-	a.address, a.zone = m.Address, m.Zone
+	a.place(m)
 	ctx, cancel := context.WithTimeout(t.life, reservationTTL)
 	defer cancel()
 	if t.job.Once {
