--- a/internal/serve/caller/task.go
+++ b/internal/serve/caller/task.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
 )
 
@@ -58,11 +59,18 @@
 }
 
 // identify returns the team of the key; tasks are looked up under it, so that no team reaches another's task.
+// A refusal here tells nothing about the task's work.
 func (a *API) identify(q *http.Request) (fleet.TeamName, error) {
-	if err := a.views.Fresh(); err != nil {
-		return "", err
+	err := a.views.Fresh()
+	if err == nil {
+		var team fleet.TeamName
+		if team, err = a.keys.authenticate(q, a.views.View()); err == nil {
+			return team, nil
+		}
 	}
-	return a.keys.authenticate(q, a.views.View())
+	e := *asRejection(err)
+	e.Work = reject.WorkUnknown
+	return "", &e
 }
 
 func (a *API) refuse(w http.ResponseWriter, err error) {
