--- /dev/null
+++ b/internal/serve/node/node_test.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven"
+	"github.com/yuccahaven/yuccahaven/internal/lab/input"
+	"github.com/yuccahaven/yuccahaven/internal/lab/record"
+	"github.com/yuccahaven/yuccahaven/internal/lab/store"
+	"github.com/yuccahaven/yuccahaven/internal/lab/worker"
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+)
+
+// deployment is a platform of stand-ins with entry instances, all in this process and on loopback.
+type deployment struct {
+	t        *testing.T
+	services map[store.Service]string
+	journal  *journal
+	nodes    []*started
+}
+
+// journal keeps the workers' events and tells the keys of started tasks.
+type journal struct {
+	record.Log[record.Journal]
+	started chan string
+}
+
+// Write implements record.Sink.
+func (j *journal) Write(r record.Journal) {
+	j.Log.Write(r)
+	if r.Event == record.Started && r.Key != "" {
+		j.started <- r.Key
+	}
+}
+
+type started struct {
+	*Node
+	stop context.CancelFunc
+	done chan error
+}
+
+func deploy(t *testing.T, entries int, change func(*Settings)) *deployment {
+	t.Helper()
+	d := &deployment{t: t, services: map[store.Service]string{}, journal: &journal{started: make(chan string, 100)}}
+	s := store.New()
+	for _, v := range store.Services() {
+		p, err := s.Listen(v, "127.0.0.1:0")
+		d.must(err)
+		t.Cleanup(p.Refuse)
+		d.services[v] = "http://" + p.Address()
+	}
+	for i, z := range []fleet.AvailabilityZone{"a", "b", "c"} {
+		w := worker.New(roster.Listing{ID: fleet.InstanceID(fmt.Sprintf("w%d", i)), Zone: z, Rack: "r"}, d.journal)
+		p, err := w.Listen("127.0.0.1:0")
+		d.must(err)
+		t.Cleanup(p.Refuse)
+		s.Put(w.Listing())
+	}
+	for i := range entries {
+		d.start(fmt.Sprintf("e%d", i), change)
+	}
+	for _, n := range d.nodes {
+		d.awaitReady(n)
+	}
+	return d
+}
+
+func (d *deployment) must(err error) {
+	d.t.Helper()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *deployment) start(name string, change func(*Settings)) {
+	d.t.Helper()
+	s := &Settings{Name: name, Zone: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		Table: d.services[store.Table], Object: d.services[store.Object], Roster: d.services[store.Roster],
+		PeerToken: "peers", AdminToken: "admin", Document: "testdata/document.yaml", BodyTimeout: "30s",
+		BalancerPause: "0s", LogLevel: "info"}
+	if change != nil {
+		change(s)
+	}
+	d.must(check(s))
+	n, err := New(s, zap.NewNop())
+	d.must(err)
+	ctx, stop := context.WithCancel(context.Background())
+	x := &started{Node: n, stop: stop, done: make(chan error, 1)}
+	go func() { x.done <- n.Run(ctx) }()
+	d.nodes = append(d.nodes, x)
+	d.t.Cleanup(func() { stop(); d.must(<-x.done); x.done <- nil })
+}
+
+// awaitReady waits until an instance is ready and its view holds workers.
+func (d *deployment) awaitReady(n *started) {
+	for {
+		changed := n.keeper.Changes()
+		d.must(n.keeper.Await(context.Background()))
+		if n.registrar.Registered() && len(n.keeper.View().Pool("main")) > 0 {
+			return
+		}
+		<-changed
+	}
+}
+
+func (d *deployment) client(scheme string, options ...yuccahaven.Option) *yuccahaven.Client {
+	var endpoints []string
+	for _, n := range d.nodes {
+		endpoints = append(endpoints, scheme+"://"+n.Address())
+	}
+	c, err := yuccahaven.NewClient(endpoints, options...)
+	d.must(err)
+	return c
+}
+
+func (d *deployment) starts(key string) int {
+	n := 0
+	for _, r := range d.journal.Records() {
+		if r.Event == record.Started && r.Key == key {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a break anywhere on the whole path of a request, and against a keyed request that runs more than
+// once when it reaches every entry instance at once.
+func TestWholePath(t *testing.T) {
+	d := deploy(t, 3, nil)
+	c := d.client("http")
+	in := input.Encode(input.Header{Size: 100_000}, []byte("x"))
+	for range 6 {
+		r, err := c.Submit(context.Background(), yuccahaven.Job{Queue: "open", Input: in})
+		d.must(err)
+		if !bytes.Equal(r.Body, input.Answer(in)) {
+			t.Fatalf("%d bytes are not the answer", len(r.Body))
+		}
+	}
+	failed := make(chan error)
+	for range 6 {
+		go func() {
+			_, err := c.Submit(context.Background(), yuccahaven.Job{Queue: "open", Input: in, Key: "k", Once: true})
+			failed <- err
+		}()
+	}
+	for range 6 {
+		d.must(<-failed)
+	}
+	if n := d.starts("k"); n != 1 {
+		t.Fatalf("started %d times", n)
+	}
+}
+
+// Guards against a shutdown that breaks off a running request, takes new ones, or stays a member.
+func TestShutdown(t *testing.T) {
+	d := deploy(t, 2, nil)
+	leaving, staying := d.nodes[0], d.nodes[1]
+	c, err := yuccahaven.NewClient([]string{"http://" + leaving.Address()}, yuccahaven.WithTries(1))
+	d.must(err)
+	running := make(chan error, 1)
+	go func() {
+		_, err := c.Submit(context.Background(), yuccahaven.Job{Queue: "open", Key: "k", Once: true,
+			Input: input.Encode(input.Header{Run: 1000}, nil)})
+		running <- err
+	}()
+	<-d.journal.started
+	leaving.stop()
+	for err == nil {
+		_, err = c.Submit(context.Background(), yuccahaven.Job{Queue: "open"})
+	}
+	var refusal *yuccahaven.Error
+	if !errors.As(err, &refusal) || refusal.Kind != yuccahaven.KindStopping || refusal.Work != yuccahaven.WorkNotRun {
+		t.Fatalf("new request: %v", err)
+	}
+	d.must(<-running)
+	d.must(<-leaving.done)
+	leaving.done <- nil
+	if _, listed := staying.keeper.View().Member(leaving.registrar.Self().ID); listed {
+		t.Fatal("still a member after the shutdown")
+	}
+}
+
+// Guards against an operators' interface that is not mounted or not protected.
+func TestOperators(t *testing.T) {
+	d := deploy(t, 1, nil)
+	for _, c := range []struct {
+		path, token string
+		status      int
+	}{
+		{"/healthz", "", http.StatusOK},
+		{"/readyz", "", http.StatusOK},
+		{"/metrics", "", http.StatusOK},
+		{"/v1/status", "", http.StatusUnauthorized},
+		{"/v1/status", "admin", http.StatusOK},
+		{"/v1/audit", "admin", http.StatusOK},
+	} {
+		q, err := http.NewRequest(http.MethodGet, "http://"+d.nodes[0].Address()+c.path, strings.NewReader(""))
+		d.must(err)
+		q.Header.Set("Authorization", "Bearer "+c.token)
+		p, err := http.DefaultClient.Do(q)
+		d.must(err)
+		_ = p.Body.Close()
+		if p.StatusCode != c.status {
+			t.Errorf("%s with %q: status %d, want %d", c.path, c.token, p.StatusCode, c.status)
+		}
+	}
+}
+
+// Guards against a document that is written twice or over another one.
+func TestSeedOnce(t *testing.T) {
+	d := deploy(t, 3, nil)
+	var seeds []string
+	records, err := d.nodes[0].keeper.Audit(context.Background(), 0, 1000)
+	d.must(err)
+	for _, r := range records {
+		if r.Author == seedAuthor {
+			seeds = append(seeds, fmt.Sprint(r.Revision))
+		}
+	}
+	if len(seeds) != 1 {
+		t.Fatalf("written at revisions %v", seeds)
+	}
+}
--- a/internal/serve/node/seed.go
+++ b/internal/serve/node/seed.go
@@ -14,7 +14,7 @@
 )
 
 // errFindings wraps the findings of a document.
-var errFindings = errors.New("node: the document has findings")
+var errFindings = errors.New("the document has findings")
 
 // loadSections reads a document file.
 func loadSections(file string) (fleet.Document, []fleet.Section, error) {
@@ -23,10 +23,10 @@
 		return fleet.Document{}, nil, fmt.Errorf("node: document: %w", err)
 	}
 	d, sections, findings := spec.DecodeLong(string(text))
-	return d, sections, findingsError(findings)
+	return d, sections, findingsError(file, findings)
 }
 
-func findingsError(findings []spec.Finding) error {
+func findingsError(file string, findings []spec.Finding) error {
 	if len(findings) == 0 {
 		return nil
 	}
@@ -34,7 +34,7 @@
 	for _, f := range findings {
 		lines = append(lines, f.String())
 	}
-	return fmt.Errorf("%w:\n%s", errFindings, strings.Join(lines, "\n"))
+	return fmt.Errorf("%s: %w:\n%s", file, errFindings, strings.Join(lines, "\n"))
 }
 
 // decode is the view's decoder. The view decodes one changed section at a time, so findings about the rest of the
@@ -54,7 +54,7 @@
 		if err := k.Await(ctx); err != nil {
 			return err
 		}
-		_, err := k.Edit(ctx, "seed", func(v fleet.View) ([]fleet.Item, error) {
+		_, err := k.Edit(ctx, seedAuthor, func(v fleet.View) ([]fleet.Item, error) {
 			if len(v.Sections()) > 0 {
 				return nil, nil
 			}
@@ -70,7 +70,11 @@
 	}
 }
 
-const seedPause = 500 * time.Millisecond
+const (
+	seedPause = 500 * time.Millisecond
+	// seedAuthor is the author of a seeded document in the audit record.
+	seedAuthor = "seed"
+)
 
 func seedItems(d fleet.Document, sections []fleet.Section) []fleet.Item {
 	var items []fleet.Item
--- a/internal/serve/node/settings.go
+++ b/internal/serve/node/settings.go
@@ -29,7 +29,7 @@
 	BodyTimeout, BalancerPause string
 	LogLevel                   string
 
-	places      map[*string]place
+	places      map[*string]*place
 	bodyTimeout time.Duration
 	pause       time.Duration
 	level       zapcore.Level
@@ -41,7 +41,7 @@
 	byFlag         bool
 }
 
-func (p place) String() string {
+func (p *place) String() string {
 	if !p.byFlag && os.Getenv(p.variable) != "" {
 		return p.variable
 	}
@@ -53,7 +53,7 @@
 
 // Flags declares every setting as a flag with an environment variable on a command.
 func (s *Settings) Flags(c *kingpin.CmdClause) {
-	s.places = map[*string]place{}
+	s.places = map[*string]*place{}
 	s.flag(c, &s.Name, "name", "", "name of this entry instance, as the platform lists it")
 	s.flag(c, &s.Zone, "zone", "", "availability zone of this entry instance")
 	s.flag(c, &s.Listen, "listen", "127.0.0.1:8080", "address for callers and operators")
@@ -78,7 +78,7 @@
 
 func (s *Settings) flag(c *kingpin.CmdClause, v *string, name, absent, help string) {
 	variable := Prefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
-	p := place{flag: name, variable: variable}
+	p := &place{flag: name, variable: variable}
 	c.Flag(name, help).Envar(variable).Default(absent).IsSetByUser(&p.byFlag).StringVar(v)
 	s.places[v] = p
 }
--- a/internal/serve/runner/adopt.go
+++ b/internal/serve/runner/adopt.go
@@ -14,7 +14,7 @@
 
 // adoptAll takes over the asynchronous tasks whose owner is no longer a member.
 func (r *Runner) adoptAll(ctx context.Context) {
-	if r.isStopping() || r.parts.Views.Fresh() != nil {
+	if r.Stopping() || r.parts.Views.Fresh() != nil {
 		return
 	}
 	v := r.parts.Views.View()
--- a/internal/serve/runner/drain.go
+++ b/internal/serve/runner/drain.go
@@ -7,7 +7,8 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 )
 
-func (r *Runner) isStopping() bool {
+// Stopping reports whether new work is refused because of a shutdown.
+func (r *Runner) Stopping() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.stopping
--- a/internal/serve/runner/submit.go
+++ b/internal/serve/runner/submit.go
@@ -96,7 +96,7 @@
 
 // admit checks a job against the fresh view and returns its task, which is not yet in line.
 func (r *Runner) admit(j Job, async bool) (*task, error) {
-	if r.isStopping() {
+	if r.Stopping() {
 		return nil, errStopping()
 	}
 	if err := r.parts.Views.Fresh(); err != nil {
