--- a/internal/lab/fakes/net.go
+++ b/internal/lab/fakes/net.go
@@ -24,7 +24,6 @@
 	mu    sync.Mutex
 	nodes map[string]Node
 	cut   map[[2]string]bool
-	// Delay is the time of a call.
 	delay time.Duration
 }
 
@@ -47,6 +46,13 @@
 	delete(n.nodes, address)
 }
 
+// SetDelay sets the time of a call.
+func (n *Net) SetDelay(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = d
+}
+
 // Cut makes calls between two addresses hang until their context ends; with on false they work again.
 func (n *Net) Cut(a, b string, on bool) {
 	n.mu.Lock()
@@ -89,7 +95,7 @@
 
 func call[Q, A any](ctx context.Context, c *Caller, to string, q Q, pick func(Node) func(context.Context, Q) (A, error)) (A, error) {
 	var none A
-	node, cut := c.net.node(c.from, to)
+	node, cut, delay := c.net.node(c.from, to)
 	f := pick(node)
 	if cut {
 		<-ctx.Done()
@@ -98,21 +104,21 @@
 	if f == nil {
 		return none, errCut
 	}
-	if !sleep(ctx, c.net.delay/2) {
+	if !sleep(ctx, delay/2) {
 		return none, ctx.Err()
 	}
 	a, err := f(ctx, q)
-	if _, cut = c.net.node(c.from, to); cut {
+	if _, cut, _ = c.net.node(c.from, to); cut {
 		<-ctx.Done()
 	}
-	if !sleep(ctx, c.net.delay-c.net.delay/2) {
+	if !sleep(ctx, delay-delay/2) {
 		return none, ctx.Err()
 	}
 	return a, err
 }
 
-func (n *Net) node(from, to string) (Node, bool) {
+func (n *Net) node(from, to string) (node Node, cut bool, delay time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.nodes[to], n.cut[[2]string{from, to}]
+	return n.nodes[to], n.cut[[2]string{from, to}], n.delay
 }
--- a/internal/lab/fakes/table.go
+++ b/internal/lab/fakes/table.go
@@ -94,6 +94,13 @@
 // Link returns a new faultless way to the table.
 func (t *Table) Link() *Link { return &Link{table: t} }
 
+// Use makes the link lead to another table, as after a restore of the store from an old copy.
+func (l *Link) Use(t *Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table = t
+}
+
 // Set replaces the faults.
 func (l *Link) Set(f Faults) {
 	l.mu.Lock()
@@ -103,12 +110,12 @@
 
 // Get implements table.Reader.
 func (l *Link) Get(ctx context.Context, keys ...string) ([]table.Item, error) {
-	return read(ctx, l, func() []table.Item { return l.table.get(keys) })
+	return read(ctx, l, func() []table.Item { return l.target().get(keys) })
 }
 
 // Scan implements table.Reader.
 func (l *Link) Scan(ctx context.Context, prefix, after string, limit int) ([]table.Item, error) {
-	return read(ctx, l, func() []table.Item { return l.table.scan(prefix, after, limit) })
+	return read(ctx, l, func() []table.Item { return l.target().scan(prefix, after, limit) })
 }
 
 func read(ctx context.Context, l *Link, f func() []table.Item) ([]table.Item, error) {
@@ -134,16 +141,22 @@
 	case drop:
 		return 0, table.ErrUnknown
 	case late > 0:
-		time.AfterFunc(late, func() { _, _ = l.table.commit(x) })
+		time.AfterFunc(late, func() { _, _ = l.target().commit(x) })
 		return 0, table.ErrUnknown
 	}
-	version, err := l.table.commit(x)
+	version, err := l.target().commit(x)
 	if lose || !sleep(ctx, delay) {
 		return 0, table.ErrUnknown
 	}
 	return version, err
 }
 
+func (l *Link) target() *Table {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table
+}
+
 func (l *Link) begin(ctx context.Context) (time.Duration, error) {
 	l.mu.Lock()
 	f := l.faults
--- a/internal/state/view/edit.go
+++ b/internal/state/view/edit.go
@@ -92,8 +92,11 @@
 
 func (k *Keeper) attempt(ctx context.Context, author string, change Change, base fleet.View, h head) (uint64, error) {
 	items, err := change(base)
-	if err != nil || len(items) == 0 {
-		return base.Revision(), err
+	if err != nil {
+		return 0, err
+	}
+	if len(items) == 0 {
+		return base.Revision(), nil
 	}
 	revision := h.revision + 1
 	items, err = stamp(base, items, revision)
--- a/internal/state/view/load.go
+++ b/internal/state/view/load.go
@@ -233,6 +233,7 @@
 // publish makes a snapshot the current one; the caller holds mu.
 func (k *Keeper) publish(s snapshot) {
 	k.current.Store(&s)
+	k.prune(s.view)
 	k.settle()
 	close(k.changes)
 	k.changes = make(chan struct{})
--- a/internal/state/view/majority.go
+++ b/internal/state/view/majority.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 // pushInterval separates repeated pushes to a peer that has not acknowledged yet.
 const pushInterval = 100 * time.Millisecond
 
+// ackedMost is the number of entry instances above which former members are forgotten.
+const ackedMost = 64
+
 // errNotReady is returned to peers until this process has confirmed a view.
 var errNotReady = errors.New("view: no view confirmed yet")
 
@@ -95,6 +99,17 @@
 	}
 }
 
+// prune forgets what former members acknowledged; the caller holds mu.
+func (k *Keeper) prune(v fleet.View) {
+	if len(k.acked) < ackedMost {
+		return
+	}
+	maps.DeleteFunc(k.acked, func(id fleet.EntryID, _ uint64) bool {
+		_, ok := v.Member(id)
+		return !ok
+	})
+}
+
 // ackOf returns the revision that a member is known to have applied; the caller holds mu.
 func (k *Keeper) ackOf(id fleet.EntryID) uint64 {
 	if id == k.id() || k.gone(id) {
@@ -147,8 +162,8 @@
 	return true
 }
 
-// pushUntil pushes until a member has applied a revision or the context ends. The first call goes on
-// after a majority has been reached, so that the slower members learn of the edit too.
+// pushUntil pushes until a member has applied a revision or the context ends. Calls that make progress
+// go on after a majority has been reached, so that the slower members learn of the edit too.
 func (k *Keeper) pushUntil(ctx context.Context, m fleet.Member, revision uint64, replied chan<- struct{}) {
 	known := revision - 1
 	for {
@@ -161,7 +176,10 @@
 			if reply.Revision >= revision {
 				return
 			}
-			known = reply.Revision
+			if reply.Revision != known {
+				known = reply.Revision
+				continue
+			}
 		}
 		select {
 		case <-time.After(pushInterval):
