sched: Bound urgent precedence by share, remember debts, defer suspects

Serving urgent work in three of four grants let a team that marks everything urgent take three quarters of the pool: the median wait of other work rose from 6.2 s to 63 s. Urgent work now goes first until it holds its team's share; the median is 7.9 s and the longest urgent wait of other teams 1.2 s.

Lowest occupancy over weight left the rounding of shares to the same teams. A memory of 5 s, bounded to one slot, improves every window from 1 s to 60 s. Unbounded memory repaid the past at the cost of windows of 1 s to 10 s.

With three faulty workers of ten the cap left one in service, which attracted the work: 63 % of tasks failed. Such a worker is now a last choice; 3.5 % fail.

--- /dev/null
+++ b/internal/lab/policy/shares.go
@@ -0,0 +1,170 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/sched/share"
+)
+
+const (
+	poolWorkers = 10
+	poolSlots   = poolWorkers * workerSlots
+	warmUp      = 20 * time.Second
+)
+
+// windows are the lengths over which nearness to the shares is measured.
+var windows = []time.Duration{time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute}
+
+// customers are six teams, two of them large, with run times from 20 ms to 30 s.
+var customers = []team{
+	{weight: 5, run: 500 * time.Millisecond, load: 18},
+	{weight: 4, run: 8 * time.Second, load: 16},
+	{weight: 3, run: 20 * time.Millisecond, load: 8},
+	{weight: 2, run: 30 * time.Second, load: 14},
+	{weight: 1, run: 2 * time.Second, load: 10},
+	{weight: 1, run: 100 * time.Millisecond, load: 8},
+}
+
+// surges returns the load factors of queues that surge to five times their mean for 5 to 15 s and fall to a
+// twentieth in between; the lengths keep the mean at 1.
+func surges(seed uint64, teams int, length time.Duration) func(int, time.Duration) float64 {
+	high, low, long := 5.0, 0.05, 10*time.Second
+	quiet := time.Duration(float64(long) * (high - 1) / (1 - low))
+	rng := rand.New(rand.NewPCG(seed, 2))
+	ends := make([][]time.Duration, teams) // alternating ends of quiet times and surges
+	for i := range ends {
+		at := time.Duration(rng.Float64() * float64(quiet))
+		for at < length+2*quiet {
+			ends[i] = append(ends[i], at)
+			at += long/2 + time.Duration(rng.Float64()*float64(long))
+			ends[i] = append(ends[i], at)
+			at += quiet/2 + time.Duration(rng.Float64()*float64(quiet))
+		}
+	}
+	at := make([]int, teams)
+	return func(team int, now time.Duration) float64 {
+		for now >= ends[team][at[team]] {
+			at[team]++
+		}
+		if at[team]%2 == 1 {
+			return high
+		}
+		return low
+	}
+}
+
+// candidate is a sharing policy to be measured.
+type candidate struct {
+	name  string
+	build func(s *sim) share.Policy
+}
+
+func candidates() []candidate {
+	perTask := map[fleet.TeamName]float64{}
+	for i := range customers {
+		perTask[teamName(i)] = []float64{1, 2, 1, 12, 4, 1}[i]
+	}
+	return []candidate{
+		{"arrival order (no shares)", func(s *sim) share.Policy { return arrival{s} }},
+		{"deficit round robin", func(*sim) share.Policy { return newRoundRobin() }},
+		{"start-time fair queueing", func(*sim) share.Policy { return newFairQueue() }},
+		{"dominant resource", func(*sim) share.Policy {
+			return dominant{slots: poolSlots, connections: poolWorkers * 64, perTask: perTask}
+		}},
+		{"lowest occupancy", func(*sim) share.Policy { return occupancy{} }},
+		{"occupancy, debt over 5 s", func(*sim) share.Policy { return newIndebted(poolSlots, 5*time.Second) }},
+		{"occupancy, debt over 20 s", func(*sim) share.Policy { return newIndebted(poolSlots, 20*time.Second) }},
+		{"occupancy, debt bounded to a slot (product)", func(*sim) share.Policy { return share.NewBalance() }},
+	}
+}
+
+// ledger records, per second and team, the slots used and those due by the shares.
+type ledger struct {
+	got, due [][]float64
+	full     []bool
+}
+
+func (l *ledger) sample(s *sim) {
+	second := int(s.now / time.Second)
+	for len(l.got) <= second {
+		l.got = append(l.got, make([]float64, len(s.claims)))
+		l.due = append(l.due, make([]float64, len(s.claims)))
+		l.full = append(l.full, false)
+	}
+	demand := 0
+	share.Divide(s.claims, poolSlots)
+	for i, c := range s.claims {
+		l.got[second][i] += float64(c.Held)
+		l.due[second][i] += c.Due()
+		demand += c.Held + c.Urgent + c.Normal
+	}
+	l.full[second] = l.full[second] || demand > poolSlots
+}
+
+// errors returns, for each full window, the part of the slots that went to another team than due, in percent.
+func (l *ledger) errors(window time.Duration) []float64 {
+	n := int(window / time.Second)
+	var out []float64
+	for from := int(warmUp / time.Second); from+n <= len(l.got); from += n {
+		if !slices.Contains(l.full[from:from+n], true) {
+			continue
+		}
+		wrong, total := 0.0, 0.0
+		for i := range customers {
+			got, due := 0.0, 0.0
+			for k := from; k < from+n; k++ {
+				got += l.got[k][i]
+				due += l.due[k][i]
+			}
+			wrong += math.Abs(got - due)
+			total += due
+		}
+		out = append(out, 50*wrong/total)
+	}
+	return out
+}
+
+// shares measures nearness to the shares per policy and window.
+func shares(o options) []table {
+	mean := table{Title: "Nearness to share: slots that went to another team than due, mean over full windows, percent"}
+	high := table{Title: "Nearness to share: the same, 95th percentile of windows, percent"}
+	head := []string{"policy"}
+	for _, w := range windows {
+		head = append(head, w.String())
+	}
+	mean.Head, high.Head = head, head
+	for _, c := range candidates() {
+		errs := make([][]float64, len(windows))
+		for _, l := range parallel(o, func(seed uint64) *ledger { return shareRun(c, seed, o.length) }) {
+			for i, w := range windows {
+				errs[i] = append(errs[i], l.errors(w)...)
+			}
+		}
+		m, h := []string{c.name}, []string{c.name}
+		for _, e := range errs {
+			m = append(m, fmt.Sprintf("%.1f", average(e)))
+			h = append(h, fmt.Sprintf("%.1f", quantile(e, 0.95)))
+		}
+		mean.Rows, high.Rows = append(mean.Rows, m), append(high.Rows, h)
+	}
+	return []table{mean, high}
+}
+
+func shareRun(c candidate, seed uint64, length time.Duration) *ledger {
+	s := newSim(seed, customers, poolWorkers, 2, nil)
+	s.sharer = share.NewSharer(c.build(s))
+	s.factor = surges(seed, len(customers), length)
+	l := &ledger{}
+	s.hooks.tick = func() {
+		if s.now%(20*time.Millisecond) == 0 {
+			l.sample(s)
+		}
+	}
+	s.run(length)
+	return l
+}
--- a/internal/sched/admit/queue.go
+++ b/internal/sched/admit/queue.go
@@ -59,28 +59,37 @@
 	teams     map[fleet.TeamName]*team
 	estimates map[fleet.QueueName]peer.Estimate
 	early     bool
+	now       func() time.Time
 }
 
 // Option changes a Queue.
 type Option func(*options)
 
-type options struct{ early bool }
+type options struct {
+	early bool
+	now   func() time.Time
+}
+
+// WithClock replaces the runtime's clock, for simulations outside a test.
+func WithClock(now func() time.Time) Option { return func(o *options) { o.now = now } }
 
 // WithoutEarlyRefusal admits work whatever its expected wait, as a baseline for measurements.
 func WithoutEarlyRefusal() Option { return func(o *options) { o.early = false } }
 
 // NewQueue returns an empty queue.
 func NewQueue[T any](opts ...Option) *Queue[T] {
-	o := options{early: true}
+	o := options{early: true, now: time.Now}
 	for _, f := range opts {
 		f(&o)
 	}
-	return &Queue[T]{teams: map[fleet.TeamName]*team{}, estimates: map[fleet.QueueName]peer.Estimate{}, early: o.early}
+	return &Queue[T]{
+		teams: map[fleet.TeamName]*team{}, estimates: map[fleet.QueueName]peer.Estimate{}, early: o.early, now: o.now,
+	}
 }
 
 // Push admits a task or returns a *reject.Error of kind full or deadline.
 func (q *Queue[T]) Push(j Job, value T) (*Ticket[T], error) {
-	now := time.Now()
+	now := q.now()
 	j.Slots = max(j.Slots, 1)
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -116,7 +125,7 @@
 // Pop takes the team's next task of at most the given number of slots: urgent before other work, the largest
 // that fits before smaller ones, then in order of arrival. False means that nothing fits.
 func (q *Queue[T]) Pop(name fleet.TeamName, slots int) (*Ticket[T], bool) {
-	now := time.Now()
+	now := q.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t, ok := q.teams[name]
@@ -147,7 +156,7 @@
 
 // Demand returns every team's waiting work; free tells the slots of the team's unused ceiling grants.
 func (q *Queue[T]) Demand(free func(fleet.TeamName) int) []peer.Demand {
-	now := time.Now()
+	now := q.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var ds []peer.Demand
@@ -198,7 +207,7 @@
 	if ahead == 0 {
 		return 0
 	}
-	if r := t.drain.rate(time.Now()); r > 0 {
+	if r := t.drain.rate(q.now()); r > 0 {
 		return time.Duration(float64(ahead) / r * float64(time.Second))
 	}
 	return q.estimates[j.Queue].Wait
--- a/internal/sched/alloc/coordinator.go
+++ b/internal/sched/alloc/coordinator.go
@@ -77,7 +77,7 @@
 func NewCoordinator(self fleet.EntryID, views Viewer, prober Prober, options ...CoordinatorOption) *Coordinator {
 	c := &Coordinator{
 		self: self, views: views, prober: prober, connections: place.DefaultConnections,
-		policy: func() share.Policy { return share.Occupancy{} },
+		policy: func() share.Policy { return share.NewBalance() },
 		pools:  map[fleet.PoolName]*pool{}, fresh: make(chan *pool, freshPools),
 	}
 	for _, o := range options {
--- a/internal/sched/alloc/entry.go
+++ b/internal/sched/alloc/entry.go
@@ -13,6 +13,7 @@
 	worker fleet.InstanceID
 	team   *team
 	slots  int
+	urgent bool
 	seen   uint64 // sequence of the poll that last named it
 }
 
@@ -75,7 +76,8 @@
 		if ok {
 			p.end(o.Task, t)
 		}
-		t = &task{entry: e, worker: o.Worker, team: p.team(o.Team), slots: o.Slots, seen: q.Sequence}
+		t = &task{entry: e, worker: o.Worker, team: p.team(o.Team), slots: o.Slots,
+			urgent: o.Urgent, seen: q.Sequence}
 		p.begin(o.Task, t)
 	}
 	if e.tasks == len(q.Occupied) {
@@ -91,7 +93,7 @@
 func (p *pool) begin(id fleet.TaskID, t *task) {
 	p.tasks[id] = t
 	t.entry.tasks++
-	t.team.claim.Held += t.slots
+	t.team.claim.Hold(t.slots, t.urgent)
 	p.use(t.worker, t.slots)
 	if w, ok := p.workers[t.worker]; ok {
 		if s, ok := w.leftover[id]; ok {
@@ -104,7 +106,7 @@
 func (p *pool) end(id fleet.TaskID, t *task) {
 	delete(p.tasks, id)
 	t.entry.tasks--
-	t.team.claim.Held -= t.slots
+	t.team.claim.Hold(-t.slots, t.urgent)
 	p.use(t.worker, -t.slots)
 	p.released.add(id)
 }
@@ -130,7 +132,7 @@
 	m.gone = true
 	delete(p.permits, m.ID)
 	delete(m.entry.permits, m.ID)
-	m.team.claim.Held -= m.Slots
+	m.team.claim.Hold(-m.Slots, m.Urgent)
 	p.use(m.Worker, -m.Slots)
 }
 
--- a/internal/sched/alloc/grant.go
+++ b/internal/sched/alloc/grant.go
@@ -18,9 +18,10 @@
 // are promised and collected with their next polls.
 func (p *pool) allocate(now time.Time, polling *entry) {
 	p.review(now)
-	for _, c := range p.claims {
-		c.Skip = false
+	if p.picker.Free() == 0 && !p.ready() {
+		return
 	}
+	p.sharer.Round(p.claims, p.picker.Free())
 	for p.picker.Free() > 0 || p.ready() {
 		c, urgent := p.sharer.Next(now, p.claims)
 		if c == nil {
--- a/internal/sched/alloc/pool.go
+++ b/internal/sched/alloc/pool.go
@@ -155,6 +155,7 @@
 		slots = p.health.Limit(w.ID, w.Slots)
 	}
 	p.picker.Limit(w.Node, slots)
+	p.picker.Defer(w.Node, p.health.State(w.ID) == health.Suspect)
 }
 
 func (p *pool) team(name fleet.TeamName) *team {
--- a/internal/sched/health/health.go
+++ b/internal/sched/health/health.go
@@ -40,6 +40,8 @@
 // The states of a worker.
 const (
 	Healthy State = iota
+	// Suspect workers are as faulty as quarantined ones, but the cap is reached: they are the last choice.
+	Suspect
 	Quarantined
 	Probation
 )
@@ -89,7 +91,7 @@
 	if !ok {
 		return
 	}
-	if r.state != Healthy {
+	if r.away() {
 		w.away--
 	}
 	r.withdraw()
@@ -129,17 +131,22 @@
 		return w.try(now, r, q, failed)
 	}
 	r.add(q, failed)
-	if !failed || r.evidence() < threshold || !w.room() {
-		return false
+	before := r.state
+	switch proven := r.evidence() >= threshold; {
+	case proven && failed && w.room():
+		w.quarantine(now, r)
+	case proven:
+		r.state = Suspect
+	default:
+		r.state = Healthy
 	}
-	w.quarantine(now, r)
-	return true
+	return r.state != before
 }
 
 // Advance moves workers whose quarantine has lasted long enough to probation and returns them.
 func (w *Watch) Advance(now time.Time) []fleet.InstanceID {
 	if w.away == 0 {
-		return nil
+		return nil // suspects exist only while the cap is reached
 	}
 	var moved []fleet.InstanceID
 	for id, r := range w.workers {
@@ -158,10 +165,10 @@
 }
 
 func (w *Watch) quarantine(now time.Time, r *record) {
-	if r.state == Healthy {
+	if !r.away() {
 		w.away++
 	}
-	if r.pause == 0 || r.state == Healthy && now.Sub(r.returned) > forgive {
+	if r.pause == 0 || !r.away() && now.Sub(r.returned) > forgive {
 		r.pause = minQuarantine
 	} else {
 		r.pause = min(2*r.pause, maxQuarantine)
@@ -188,6 +195,9 @@
 	return true
 }
 
+// away reports whether the worker counts towards the cap.
+func (r *record) away() bool { return r.state == Quarantined || r.state == Probation }
+
 func (w *Watch) record(id fleet.InstanceID) *record {
 	r, ok := w.workers[id]
 	if !ok {
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -3,6 +3,8 @@
 package place
 
 import (
+	"slices"
+
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 )
 
@@ -33,7 +35,9 @@
 	used        int
 	connections int
 	held        bool
+	deferred    bool
 	free        int // the bucket the node is in
+	spare       int // free slots of a deferred node
 	position    int // its position in the bucket
 }
 
@@ -58,20 +62,23 @@
 	cursor  int
 }
 
-// room returns the slots that may be given out in the zone now, bounded by its share in service.
-func (z *zone) room() int {
-	allowed := z.slots
+// allowed returns the slots of the zone's share in service.
+func (z *zone) allowed() int {
 	if z.percent < full {
-		allowed = (z.slots*z.percent + full - 1) / full
+		return (z.slots*z.percent + full - 1) / full
 	}
-	return min(z.free, allowed-z.used)
+	return z.slots
 }
 
+// room returns the slots that may be given out in the zone now, deferred workers left out.
+func (z *zone) room() int { return min(z.free, z.allowed()-z.used) }
+
 // Picker holds the workers of one pool; it is not safe for concurrent use.
 type Picker struct {
 	connections int
 	zones       map[fleet.AvailabilityZone]*zone
 	order       []*zone
+	deferred    []*Node
 	free        int
 }
 
@@ -98,6 +105,7 @@
 // Remove takes a worker out.
 func (p *Picker) Remove(n *Node) {
 	p.extract(n)
+	p.undefer(n)
 	n.zone.slots -= n.Slots
 	n.zone.used -= n.used
 	n.rack.slots -= n.Slots
@@ -153,11 +161,40 @@
 		}
 	}
 	if best == nil {
-		return nil
+		return p.last(slots)
 	}
 	return best.pick()
 }
 
+// Defer makes a worker the last choice: it gets work only when no other one has room.
+func (p *Picker) Defer(n *Node, deferred bool) {
+	if n.deferred == deferred {
+		return
+	}
+	p.extract(n)
+	n.deferred = deferred
+	p.insert(n)
+	if deferred {
+		p.deferred = append(p.deferred, n)
+	} else {
+		p.undefer(n)
+	}
+}
+
+func (p *Picker) undefer(n *Node) {
+	p.deferred = slices.DeleteFunc(p.deferred, func(o *Node) bool { return o == n })
+}
+
+// last returns a deferred worker with room.
+func (p *Picker) last(slots int) *Node {
+	for _, n := range p.deferred {
+		if n.spare >= slots && n.zone.allowed()-n.zone.used >= slots {
+			return n
+		}
+	}
+	return nil
+}
+
 // Hold chooses a worker to be kept for a task that fits none now: the worker with the most free slots of those
 // that could ever run it. A held worker gets no other work until Unhold; nil if there is none.
 func (p *Picker) Hold(slots int) *Node {
@@ -204,10 +241,13 @@
 }
 
 func (p *Picker) insert(n *Node) {
-	n.free = 0
+	n.free, n.spare = 0, 0
 	if n.connections < p.connections && !n.held {
 		n.free = max(min(n.limit, n.Slots)-n.used, 0)
 	}
+	if n.deferred {
+		n.free, n.spare = 0, n.free
+	}
 	z := n.zone
 	for len(z.buckets) <= n.free {
 		z.buckets = append(z.buckets, nil)
@@ -215,7 +255,7 @@
 	n.position = len(z.buckets[n.free])
 	z.buckets[n.free] = append(z.buckets[n.free], n)
 	z.free += n.free
-	p.free += n.free
+	p.free += n.free + n.spare
 }
 
 func (p *Picker) extract(n *Node) {
@@ -227,7 +267,7 @@
 	b[len(b)-1] = nil
 	z.buckets[n.free] = b[:len(b)-1]
 	z.free -= n.free
-	p.free -= n.free
+	p.free -= n.free + n.spare
 }
 
 // top returns the most free slots of any worker of the zone.
--- a/internal/sched/place/place_test.go
+++ b/internal/sched/place/place_test.go
@@ -82,6 +82,36 @@
 	}
 }
 
+// TestDefer guards against work for a suspect worker while others have room, and against slots lost by it.
+func TestDefer(t *testing.T) {
+	p := NewPicker(DefaultConnections)
+	a := p.Add(Worker{ID: "a", Zone: "z1", Rack: "r", Slots: 8})
+	b := p.Add(Worker{ID: "b", Zone: "z2", Rack: "r", Slots: 8})
+	p.Limit(a, 8)
+	p.Limit(b, 8)
+	p.Defer(a, true)
+	for i := range 16 {
+		n := p.Pick(1)
+		if n == nil || (n == a) != (i >= 8) {
+			t.Fatalf("task %d was placed wrongly", i)
+		}
+		p.Use(n, 1)
+	}
+	if p.Pick(1) != nil || p.Free() != 0 {
+		t.Error("placed beyond the slots")
+	}
+	p.Use(a, -8)
+	p.LimitZone("z1", 0)
+	if p.Pick(1) != nil {
+		t.Error("a deferred worker got work in a zone out of service")
+	}
+	p.LimitZone("z1", 100)
+	p.Defer(a, false)
+	if n := p.Pick(8); n != a || p.Free() != 8 {
+		t.Error("slots were lost when the worker was no longer deferred")
+	}
+}
+
 // TestFit guards against queueing tasks that no worker of the pool can ever run.
 func TestFit(t *testing.T) {
 	v := fleet.View{}.WithRevision(1).WithPool("p", []fleet.PoolMember{{ID: "a", Slots: 8}})
