--- a/internal/sched/alloc/coordinator.go
+++ b/internal/sched/alloc/coordinator.go
@@ -145,7 +145,7 @@
 	r, err := c.prober.Report(ctx, w.address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.probed(w, r, err)
+	p.probed(w, r, err, time.Now())
 }
 
 func (c *Coordinator) pool(name fleet.PoolName, now time.Time) *pool {
--- a/internal/sched/alloc/entry.go
+++ b/internal/sched/alloc/entry.go
@@ -9,11 +9,13 @@
 
 // task is one running task that an entry reports.
 type task struct {
+	id     fleet.TaskID
 	entry  *entry
 	worker fleet.InstanceID
 	team   *team
 	slots  int
 	urgent bool
+	gone   bool
 	seen   uint64 // sequence of the poll that last named it
 }
 
@@ -42,7 +44,7 @@
 	id       fleet.EntryID
 	sequence uint64
 	polled   time.Time
-	tasks    int
+	tasks    []*task // in the order of the last poll
 	demands  map[*team]*demand
 	permits  map[string]*permit
 	promised []*permit // in order of promise
@@ -67,48 +69,60 @@
 }
 
 func (p *pool) absorbTasks(e *entry, q peer.PollRequest) {
+	before := e.tasks
+	e.tasks = make([]*task, 0, len(q.Occupied))
+	next := 0
 	for _, o := range q.Occupied {
-		t, ok := p.tasks[o.Task]
-		if ok && t.entry == e && t.worker == o.Worker && t.slots == o.Slots {
-			t.seen = q.Sequence
-			continue
+		t := p.find(before, &next, o.Task)
+		if t != nil && (t.entry != e || t.worker != o.Worker || t.slots != o.Slots) {
+			p.end(t)
+			t = nil
 		}
-		if ok {
-			p.end(o.Task, t)
+		if t == nil {
+			t = p.begin(e, o)
 		}
-		t = &task{entry: e, worker: o.Worker, team: p.team(o.Team), slots: o.Slots,
-			urgent: o.Urgent, seen: q.Sequence}
-		p.begin(o.Task, t)
+		t.seen = q.Sequence
+		e.tasks = append(e.tasks, t)
 	}
-	if e.tasks == len(q.Occupied) {
-		return
+	for _, t := range before {
+		if t.seen != q.Sequence && !t.gone {
+			p.end(t)
+		}
 	}
-	for id, t := range p.tasks {
-		if t.entry == e && t.seen != q.Sequence {
-			p.end(id, t)
+}
+
+// find returns the task of an id, nil if there is none. Entries tend to report their tasks in the same order
+// each time, which saves most look-ups in a map that holds all the pool's tasks.
+func (p *pool) find(before []*task, next *int, id fleet.TaskID) *task {
+	for i := *next; i < min(*next+2, len(before)); i++ {
+		if before[i].id == id && !before[i].gone {
+			*next = i + 1
+			return before[i]
 		}
 	}
+	return p.tasks[id]
 }
 
-func (p *pool) begin(id fleet.TaskID, t *task) {
-	p.tasks[id] = t
-	t.entry.tasks++
+func (p *pool) begin(e *entry, o peer.Occupied) *task {
+	t := &task{id: o.Task, entry: e, worker: o.Worker, team: p.team(o.Team), slots: o.Slots, urgent: o.Urgent}
+	p.tasks[t.id] = t
 	t.team.claim.Hold(t.slots, t.urgent)
 	p.use(t.worker, t.slots)
 	if w, ok := p.workers[t.worker]; ok {
-		if s, ok := w.leftover[id]; ok {
-			delete(w.leftover, id)
+		if s, ok := w.leftover[t.id]; ok {
+			delete(w.leftover, t.id)
 			p.picker.Use(w.Node, -s)
 		}
 	}
+	return t
 }
 
-func (p *pool) end(id fleet.TaskID, t *task) {
-	delete(p.tasks, id)
-	t.entry.tasks--
+func (p *pool) end(t *task) {
+	t.gone = true
+	delete(p.tasks, t.id)
 	t.team.claim.Hold(-t.slots, t.urgent)
 	p.use(t.worker, -t.slots)
-	p.released.add(id)
+	p.released.add(t.id)
 }
 
 // absorbPermits ends the collected permits that the entry no longer has: used or expired.
@@ -241,9 +255,9 @@
 
 // forget drops an entry whose tasks have run out their leases.
 func (p *pool) forget(id fleet.EntryID, e *entry) {
-	for i, t := range p.tasks {
-		if t.entry == e {
-			p.end(i, t)
+	for _, t := range e.tasks {
+		if !t.gone {
+			p.end(t)
 		}
 	}
 	for t := range e.demands {
--- a/internal/sched/alloc/pool.go
+++ b/internal/sched/alloc/pool.go
@@ -20,6 +20,7 @@
 	startable bool
 	leaving   bool
 	tried     bool // a probe has ended
+	reported  bool // a probe was answered
 	probing   bool
 	boot      string
 	// leftover are running tasks that no entry reports, with their slots; unclaimed are those of the last report.
--- a/internal/sched/alloc/probe.go
+++ b/internal/sched/alloc/probe.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
@@ -68,7 +69,7 @@
 }
 
 // probed takes in a worker's reply to a probe.
-func (p *pool) probed(w *node, r worker.Report, err error) {
+func (p *pool) probed(w *node, r worker.Report, err error, now time.Time) {
 	w.probing, w.tried = false, true
 	if p.workers[w.ID] != w {
 		return // left the pool meanwhile
@@ -79,13 +80,33 @@
 		p.limit(w)
 		return
 	}
-	first := w.boot != r.Boot
-	w.leaving, w.boot = r.Leaving, r.Boot
+	first := !w.reported || w.boot != r.Boot
+	w.reported, w.leaving, w.boot = true, r.Leaving, r.Boot
 	p.picker.Connections(w.Node, r.Connections)
+	p.settle(w, r, now)
 	p.leftovers(w, r, first)
 	p.limit(w)
 }
 
+// settle ends the tasks of silent entries that their worker no longer runs, so that the slots of a lost entry need
+// not wait for the longest lease.
+func (p *pool) settle(w *node, r worker.Report, now time.Time) {
+	for _, e := range p.entries {
+		if now.Sub(e.polled) <= silence {
+			continue
+		}
+		for _, t := range e.tasks {
+			if t.worker == w.ID && !t.gone && !runs(r, t.id) {
+				p.end(t)
+			}
+		}
+	}
+}
+
+func runs(r worker.Report, id fleet.TaskID) bool {
+	return slices.ContainsFunc(r.Tasks, func(s worker.StatusOfOwner) bool { return s.Task == id && !s.State.Ended() })
+}
+
 // leftovers finds running tasks that no entry reports. A task counts once two reports in a row name it, because
 // one report may be older than the poll that will name the task; at the first report everything counts.
 func (p *pool) leftovers(w *node, r worker.Report, first bool) {
