alloc: Count expired promises no longer against an entry's demand

Slots promised to an entry that did not poll within 100 ms were freed, but at the entry's next poll the expired promises still reduced its demand, so that it got too few permits for one poll.

--- a/internal/sched/alloc/entry.go
+++ b/internal/sched/alloc/entry.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
@@ -174,6 +175,7 @@
 			d.take(m.Slots, m.Urgent)
 		}
 	}
+	e.promised = slices.DeleteFunc(e.promised, func(m *permit) bool { return m.gone })
 	for _, m := range e.promised {
 		// A promise that the entry no longer has work for goes back to the others.
 		if d, ok := e.demands[m.team]; ok && d.urgent+d.normal >= m.Slots {
