admin, budget: Write items through the view and confirm repeated edits

An edit that changed nothing was answered as accepted without a new revision, although it may repeat an edit that was stored but never confirmed. Such an edit now writes its first section again, so that the answer rests on a confirmation. Items are encoded by state/view, which also sets versions and generations.

The status carries each entry instance's demand for the pools, which the spare planner needs for the whole fleet.

--- a/internal/plan/budget/batch.go
+++ b/internal/plan/budget/batch.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
 )
 
 // Step is one change of the view.
@@ -44,8 +45,9 @@
 
 // Apply returns the view with the pool items of this package applied; its revision stays the same.
 func Apply(v fleet.View, items []fleet.Item) (fleet.View, error) {
+	prefix := view.PoolItem("", nil).Key
 	for _, i := range items {
-		name, ok := strings.CutPrefix(i.Key, poolPrefix)
+		name, ok := strings.CutPrefix(i.Key, prefix)
 		if !ok {
 			return v, fmt.Errorf("budget: item %q is not a pool", i.Key)
 		}
--- a/internal/plan/budget/items.go
+++ b/internal/plan/budget/items.go
@@ -2,22 +2,16 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
 )
 
-const poolPrefix = "view/pool/"
-
-// poolItem returns the item that replaces a pool's membership.
+// poolItem returns the item that replaces a pool's membership, sorted so that equal memberships have equal items.
 func poolItem(p fleet.PoolName, members []fleet.PoolMember) fleet.Item {
 	slices.SortFunc(members, func(a, b fleet.PoolMember) int { return cmp.Compare(a.ID, b.ID) })
-	b, err := json.Marshal(members)
-	if err != nil {
-		panic(err) // a PoolMember holds strings and integers only
-	}
-	return fleet.Item{Key: poolPrefix + string(p), Value: b}
+	return view.PoolItem(p, members)
 }
 
 func replace(v fleet.View, p fleet.PoolName, m fleet.PoolMember) []fleet.Item {
--- a/internal/serve/admin/admin_test.go
+++ b/internal/serve/admin/admin_test.go
@@ -20,6 +20,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
@@ -75,9 +76,13 @@
 	case parts[1] == "section" && i.Value == nil:
 		k.view = k.view.WithoutSection(parts[2])
 	case parts[1] == "section":
-		k.view = k.view.WithSection(decode[fleet.Section](i.Value))
+		s := decode[fleet.Section](i.Value)
+		s.Version = k.view.Revision() + 1
+		k.view = k.view.WithSection(s)
 	case parts[1] == "zone":
-		k.view = k.view.WithZone(fleet.AvailabilityZone(parts[2]), decode[fleet.ZoneStatus](i.Value))
+		s := decode[fleet.ZoneStatus](i.Value)
+		s.Generation = k.view.Revision() + 1
+		k.view = k.view.WithZone(fleet.AvailabilityZone(parts[2]), s)
 	case parts[1] == "pool":
 		k.view = k.view.WithPool(fleet.PoolName(parts[2]), decode[[]fleet.PoolMember](i.Value))
 	}
@@ -110,6 +115,7 @@
 func (e entries) EntryStatus() admin.EntryStatus {
 	return admin.EntryStatus{Entry: "a.1", Revision: e.keeper.view.Revision(), Fresh: true,
 		Teams: []admin.TeamLoad{{Team: "ropes", Running: 3, Waiting: 1, Granted: 10}},
+		Pools: []spare.Load{{Pool: "main", Running: 3}},
 		Zones: []admin.ZoneLoad{{Zone: "east", Running: 3}},
 		Steps: []admin.ZoneReturn{{Pool: "main", Zone: "west", Generation: 0, State: "ramping", Percent: 50}}}
 }
@@ -234,6 +240,19 @@
 	}
 }
 
+// Guards against demand that is counted for one entry instance only.
+func TestLoads(t *testing.T) {
+	s, _ := newServer(t)
+	loads, err := s.Loads(t.Context())
+	total := 0
+	for _, l := range loads {
+		total += l.Running
+	}
+	if err != nil || total != 6 {
+		t.Errorf("running %d, error %v; want 3 at each of two entry instances", total, err)
+	}
+}
+
 // raced lets a change take place between the authentication of a request and the evaluation of its edit.
 type raced struct {
 	*keeper
--- a/internal/serve/admin/change.go
+++ b/internal/serve/admin/change.go
@@ -7,6 +7,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/spec"
 	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
 )
 
 // change is what an edit makes of the document: sections written and sections removed.
@@ -16,7 +17,7 @@
 }
 
 // items checks a change against a view and returns its items, or the findings as an error.
-// A written section with an unchanged text is left out, so that its version stays.
+// Written sections with an unchanged text are left out, so that their versions stay.
 func (s *Server) items(v fleet.View, a actor, c change) ([]fleet.Item, error) {
 	before := v.Document()
 	for _, name := range c.names() {
@@ -75,21 +76,23 @@
 	return findings
 }
 
+// documentItems returns the items of a change. A change without effect writes its first section again: it may be the
+// repetition of an edit that was not confirmed, and only a new revision can be confirmed.
 func (c change) documentItems(v fleet.View, after fleet.Document) []fleet.Item {
 	var items []fleet.Item
 	for _, s := range c.written {
 		if present, ok := v.Section(s.Name); ok && present.Text == s.Text {
 			continue
 		}
-		s.Version = v.Revision() + 1
-		items = append(items, sectionItem(s))
+		items = append(items, view.SectionItem(s))
 		items = append(items, zoneItems(v, after, s.Name)...)
 	}
 	for _, name := range c.removed {
-		if _, ok := v.Section(name); ok {
-			items = append(items, sectionRemoval(name))
-			items = append(items, zoneItems(v, after, name)...)
-		}
+		items = append(items, view.SectionRemoval(name))
+		items = append(items, zoneItems(v, after, name)...)
+	}
+	if len(items) == 0 && len(c.written) > 0 {
+		items = append(items, view.SectionItem(c.written[0]))
 	}
 	slices.SortStableFunc(items, func(a, b fleet.Item) int { return cmp.Compare(a.Key, b.Key) })
 	return items
@@ -108,5 +111,5 @@
 	if v.Zone(z).State == state {
 		return nil
 	}
-	return []fleet.Item{zoneItem(z, fleet.ZoneStatus{State: state, Generation: v.Revision() + 1})}
+	return []fleet.Item{view.ZoneItem(z, fleet.ZoneStatus{State: state})}
 }
--- a/internal/serve/admin/report.go
+++ b/internal/serve/admin/report.go
@@ -7,20 +7,15 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
 )
 
 // AuditRecord says who changed what at one revision.
-type AuditRecord struct {
-	Revision uint64    `json:"revision"`
-	Author   string    `json:"author"`
-	Time     time.Time `json:"time"`
-	Keys     []string  `json:"keys"`
-}
+type AuditRecord = view.AuditRecord
 
 // maxAudit is the largest number of audit records in one answer; the store returns them in one scan.
 const maxAudit = 1000
--- a/internal/serve/admin/section.go
+++ b/internal/serve/admin/section.go
@@ -62,7 +62,6 @@
 	if err != nil {
 		return err
 	}
-	unchanged := uint64(0)
 	revision, err := s.edit(q, a, func(v fleet.View) ([]fleet.Item, error) {
 		if err := a.mayTouch(v.Document(), name); err != nil {
 			return nil, err
@@ -72,20 +71,12 @@
 			return nil, reject.New(reject.KindConflict, reject.WorkNotRun,
 				"section %q is at version %d, the edit is based on %s", name, present.Version, based(q))
 		}
-		items, err := s.items(v, a, c)
-		unchanged = 0
-		if len(items) == 0 {
-			unchanged = present.Version
-		}
-		return items, err
+		return s.items(v, a, c)
 	})
 	if err != nil {
 		return err
 	}
 	answer := Accepted{Revision: revision, Section: name, Version: revision}
-	if unchanged > 0 {
-		answer.Version = unchanged
-	}
 	if len(c.removed) > 0 {
 		answer.Version = 0
 	}
--- a/internal/serve/admin/status.go
+++ b/internal/serve/admin/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
+	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
@@ -26,6 +27,8 @@
 	Teams []TeamLoad   `json:"teams,omitempty"`
 	Zones []ZoneLoad   `json:"zones,omitempty"`
 	Steps []ZoneReturn `json:"steps,omitempty"`
+	// Pools is the entry instance's own demand for each pool.
+	Pools []spare.Load `json:"pools,omitempty"`
 }
 
 // TeamLoad is a team's work at one entry instance, in slots.
@@ -78,6 +81,8 @@
 	Min       int            `json:"min"`
 	Members   int            `json:"members"`
 	Available int            `json:"available"`
+	// Lent counts the members that came from a spare pool and are to return there.
+	Lent int `json:"lent"`
 	// Version is the system version of the roll-out; Current counts the members that reported it.
 	Version string `json:"version,omitempty"`
 	Current int    `json:"current"`
@@ -152,6 +157,15 @@
 	return r
 }
 
+// Loads returns the demand for every pool over the entry instances that answer, as spare.Planner needs it.
+func (s *Server) Loads(ctx context.Context) ([]spare.Load, error) {
+	var loads []spare.Load
+	for _, r := range s.collect(ctx, s.Viewer.View()) {
+		loads = append(loads, r.status.Pools...)
+	}
+	return loads, ctx.Err()
+}
+
 func (s *Server) getStatus(w http.ResponseWriter, q *http.Request, a actor) error {
 	if err := a.needAdmin(); err != nil {
 		return err
@@ -187,6 +201,9 @@
 		if section.Version != "" && m.Version == section.Version {
 			s.Current++
 		}
+		if _, lent := budget.Home(v, p, m); lent {
+			s.Lent++
+		}
 		if m.State != fleet.InstanceActive {
 			s.Changing = append(s.Changing, m)
 		}
