opctl: Add the operators' command line

Operators need to edit sections, take zones out and return them, move instances, grant keys and read the reports from scripts, with exit codes that tell a refusal from a conflict, an unknown outcome and a server that can't be reached.

--- a/cmd/yuccahaven/main.go
+++ b/cmd/yuccahaven/main.go
@@ -1,4 +1,4 @@
-// Command yuccahaven runs an entry instance of the fleet capacity and maintenance manager.
+// Command yuccahaven runs an entry instance of the fleet capacity and maintenance manager, and its operators' commands.
 package main
 
 import (
@@ -7,10 +7,12 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/yuccahaven/yuccahaven/internal/serve/node"
+	"github.com/yuccahaven/yuccahaven/internal/tool/opctl"
 )
 
 func main() {
 	app := kingpin.New("yuccahaven", "Fleet capacity and maintenance manager.")
 	node.Register(app)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	opctl.Register(app)
+	os.Exit(opctl.Run(app, os.Args[1:]))
 }
--- a/internal/model/spec/decode.go
+++ b/internal/model/spec/decode.go
@@ -61,11 +61,11 @@
 // text decodes one section from its text.
 func (d *decoder) text(s fleet.Section) {
 	if n := d.parse(s.Name, s.Text); n != nil {
-		d.section(s.Name, n)
+		d.section(s.Name, n.Content[0])
 	}
 }
 
-// parse returns the root of the single YAML document in a text, or nil after recording a finding.
+// parse returns the single YAML document in a text, or nil after recording a finding.
 // An empty text is an empty mapping.
 func (d *decoder) parse(section, text string) *yaml.Node {
 	if len(text) > MaxText {
@@ -75,7 +75,8 @@
 	reader := yaml.NewDecoder(bytes.NewBufferString(text))
 	var n, second yaml.Node
 	if err := reader.Decode(&n); errors.Is(err, io.EOF) {
-		return &yaml.Node{Kind: yaml.MappingNode, Tag: "!!map", Line: 1, Column: 1}
+		empty := &yaml.Node{Kind: yaml.MappingNode, Tag: "!!map", Line: 1, Column: 1}
+		return &yaml.Node{Kind: yaml.DocumentNode, Content: []*yaml.Node{empty}}
 	} else if err != nil {
 		d.syntax(section, err)
 		return nil
@@ -84,7 +85,7 @@
 		d.add(place{section, second.Line, second.Column}, "text holds more than one YAML document")
 		return nil
 	}
-	return n.Content[0]
+	return &n
 }
 
 var syntaxLine = regexp.MustCompile(`^yaml: (?:line (\d+): )?`)
--- a/internal/model/spec/long.go
+++ b/internal/model/spec/long.go
@@ -13,10 +13,11 @@
 // Findings are placed in that text; the returned sections have texts of their own and no version.
 func DecodeLong(text string) (fleet.Document, []fleet.Section, []Finding) {
 	d := newDecoder()
-	root := d.parse(whole, text)
-	if root == nil {
+	n := d.parse(whole, text)
+	if n == nil {
 		return d.document, nil, d.findings
 	}
+	root := n.Content[0]
 	if root.Kind != yaml.MappingNode {
 		d.add(place{whole, root.Line, root.Column}, "want a mapping of sections, not %s", kindOf(root))
 		return d.document, nil, d.findings
@@ -34,18 +35,20 @@
 			v = &yaml.Node{Kind: yaml.MappingNode, Tag: "!!map", Line: k.Line, Column: k.Column}
 		}
 		d.section(k.Value, v)
-		sections = append(sections, d.encoded(k.Value, v))
+		sections = append(sections, d.encoded(k, v))
 	}
 	document, findings := d.finish()
 	return document, sections, findings
 }
 
-func (d *decoder) encoded(name string, n *yaml.Node) fleet.Section {
-	text, err := encode(n)
+// encoded returns a section with a text of its own, which keeps the comments around the section's name.
+func (d *decoder) encoded(k, v *yaml.Node) fleet.Section {
+	text, err := Encode(&yaml.Node{Kind: yaml.DocumentNode, HeadComment: k.HeadComment, FootComment: k.FootComment,
+		Content: []*yaml.Node{v}})
 	if err != nil {
-		d.add(place{name, n.Line, n.Column}, "%v", err)
+		d.add(place{k.Value, v.Line, v.Column}, "%v", err)
 	}
-	return fleet.Section{Name: name, Text: text}
+	return fleet.Section{Name: k.Value, Text: text}
 }
 
 // EncodeLong writes sections as one YAML mapping from section names to sections; comments are kept.
@@ -57,25 +60,18 @@
 		if n == nil {
 			return "", fmt.Errorf("spec: %v", d.findings)
 		}
-		root.Content = append(root.Content, &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: s.Name}, n)
+		key := &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: s.Name, HeadComment: n.HeadComment, FootComment: n.FootComment}
+		root.Content = append(root.Content, key, n.Content[0])
 	}
-	return encode(root)
+	return Encode(root)
 }
 
-// Encode writes one section value as the text of a section.
+// Encode writes a section, or the YAML node of one, as the text of a section.
 func Encode(section any) (string, error) {
-	var n yaml.Node
-	if err := n.Encode(section); err != nil {
-		return "", fmt.Errorf("spec: %w", err)
-	}
-	return encode(&n)
-}
-
-func encode(n *yaml.Node) (string, error) {
 	var b bytes.Buffer
 	e := yaml.NewEncoder(&b)
 	e.SetIndent(2)
-	if err := e.Encode(n); err != nil {
+	if err := e.Encode(section); err != nil {
 		return "", fmt.Errorf("spec: %w", err)
 	}
 	return b.String(), e.Close()
--- a/internal/model/spec/spec_test.go
+++ b/internal/model/spec/spec_test.go
@@ -64,8 +64,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !strings.Contains(long, "# the pool of everyday work") {
-		t.Errorf("export lost its comments:\n%s", long)
+	for _, comment := range []string{"# every zone", "# the pool of everyday work"} {
+		if !strings.Contains(long, comment) {
+			t.Errorf("export lost the comment %q:\n%s", comment, long)
+		}
 	}
 	got, _, findings := spec.DecodeLong(long)
 	if len(findings) > 0 || !reflect.DeepEqual(got, want) {
--- a/internal/serve/admin/status.go
+++ b/internal/serve/admin/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -11,6 +12,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
 	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
+	"github.com/yuccahaven/yuccahaven/internal/sched/ramp"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
@@ -51,7 +53,7 @@
 	Pool       fleet.PoolName         `json:"pool"`
 	Zone       fleet.AvailabilityZone `json:"zone"`
 	Generation uint64                 `json:"generation"`
-	// State is "settling", "probing", "ramping" or "in"; Percent is the part of the zone's slots in use.
+	// State is StateReturning, StateRamping or StateInService; Percent is the part of the zone's slots in use.
 	State   string `json:"state"`
 	Percent int    `json:"percent"`
 }
@@ -96,7 +98,44 @@
 	State      fleet.ZoneState        `json:"state"`
 	Generation uint64                 `json:"generation"`
 	Running    int                    `json:"running"`
-	Returns    []ZoneReturn           `json:"returns"`
+	// Pools are the pools with queues and with instances in the zone; each has to return it into service.
+	Pools   []fleet.PoolName `json:"pools"`
+	Returns []ZoneReturn     `json:"returns"`
+}
+
+// The states of a zone's return in a pool, as entry instances know them.
+const (
+	// StateReturning covers settling and probing.
+	StateReturning = "returning"
+	StateRamping   = "ramping"
+	StateInService = "in service"
+)
+
+// rampPercent are the parts of a zone's slots in use by step, see section 4.8 of the design page.
+var rampPercent = []int{0, 10, 25, 50, 75, 100}
+
+// ReturnOf describes a step that a pool's coordinator reported.
+func ReturnOf(p fleet.PoolName, s peer.ZoneStep) ZoneReturn {
+	r := ZoneReturn{Pool: p, Zone: s.Zone, Generation: s.Generation, State: StateReturning}
+	switch {
+	case s.Step >= ramp.StepInService:
+		r.State, r.Percent = StateInService, 100
+	case s.Step > 0:
+		r.State, r.Percent = StateRamping, rampPercent[min(s.Step, len(rampPercent)-1)]
+	}
+	return r
+}
+
+// InService reports whether a zone is in service in every pool. A zone that was never taken out needs no return.
+func (s ZoneStatus) InService() bool {
+	if s.State != fleet.ZoneIn {
+		return false
+	}
+	done := map[fleet.PoolName]bool{}
+	for _, r := range s.Returns {
+		done[r.Pool] = r.State == StateInService
+	}
+	return s.Generation == 0 || !slices.ContainsFunc(s.Pools, func(p fleet.PoolName) bool { return !done[p] })
 }
 
 // TeamStatus is a team's work across the fleet, in slots.
@@ -213,7 +252,7 @@
 
 func zoneStatus(v fleet.View, z fleet.AvailabilityZone, reports []report) ZoneStatus {
 	present := v.Zone(z)
-	s := ZoneStatus{Zone: z, State: present.State, Generation: present.Generation, Returns: []ZoneReturn{}}
+	s := ZoneStatus{Zone: z, State: present.State, Generation: present.Generation, Pools: poolsIn(v, z), Returns: []ZoneReturn{}}
 	for _, r := range reports {
 		for _, l := range r.status.Zones {
 			if l.Zone == z {
@@ -229,11 +268,23 @@
 	return s
 }
 
+func poolsIn(v fleet.View, z fleet.AvailabilityZone) []fleet.PoolName {
+	pools := []fleet.PoolName{}
+	for _, q := range v.Document().Queues {
+		in := slices.ContainsFunc(v.Pool(q.Pool), func(m fleet.PoolMember) bool { return m.Zone == z })
+		if in && !slices.Contains(pools, q.Pool) {
+			pools = append(pools, q.Pool)
+		}
+	}
+	slices.Sort(pools)
+	return pools
+}
+
 // merged keeps the least advanced report of each pool, because entry instances learn of steps one after the other.
 func merged(returns []ZoneReturn, step ZoneReturn) []ZoneReturn {
 	for i, r := range returns {
 		if r.Pool == step.Pool {
-			if step.Percent < r.Percent {
+			if step.Percent < r.Percent || r.State == StateInService {
 				returns[i] = step
 			}
 			return returns
