--- a/internal/serve/node/stop.go
+++ b/internal/serve/node/stop.go
@@ -24,11 +24,13 @@
 	if err := n.runner.Drain(context.Background()); err != nil {
 		n.log.Warn("node: work not finished", zap.Error(err))
 	}
+	n.log.Info("node: work finished")
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil {
 		n.log.Warn("node: answers not finished", zap.Error(err))
 	}
+	n.log.Info("node: answers written")
 	n.leave()
 	n.log.Info("node: stopped")
 }
@@ -39,6 +41,7 @@
 	if err := n.book.Return(ctx); err != nil {
 		n.log.Warn("node: grants not returned", zap.Error(err))
 	}
+	n.log.Info("node: grants returned")
 	if err := n.registrar.Leave(ctx); err != nil {
 		n.log.Warn("node: still listed as a member", zap.Error(err))
 	}
