--- a/internal/lab/fakes/table.go
+++ b/internal/lab/fakes/table.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -21,6 +22,13 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{items: map[string]table.Item{}} }
 
+// Clone returns an independent copy of the table.
+func (t *Table) Clone() *Table {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &Table{items: maps.Clone(t.items), version: t.version}
+}
+
 // Commits returns the number of transactions that took effect.
 func (t *Table) Commits() uint64 {
 	t.mu.Lock()
--- a/internal/state/grant/departed.go
+++ b/internal/state/grant/departed.go
@@ -11,6 +11,9 @@
 // rankDelay spreads the return of a removed holder's grants, so that the entries don't all try at once.
 const rankDelay = 500 * time.Millisecond
 
+// forgetAfter is how long a removed holder is followed; by then its grants have been returned.
+const forgetAfter = time.Minute
+
 // departure follows a holder that is no member until its grants may be returned.
 type departure struct {
 	// absent is set once the store has no member record of the holder. Identifiers are never used
@@ -31,7 +34,7 @@
 	for id, d := range b.departed {
 		_, present := r[view.MemberKey(id)]
 		switch {
-		case present:
+		case present, !d.accepted.IsZero() && time.Since(d.accepted) > forgetAfter:
 			delete(b.departed, id)
 		case !d.absent:
 			d.absent = true
--- a/internal/state/grant/plan.go
+++ b/internal/state/grant/plan.go
@@ -80,8 +80,8 @@
 	held := s.record.of(s.self).Held
 	free := s.ceiling - s.record.total()
 	need := min(s.used+s.wanted, s.ceiling)
-	entitled := entitlements(s, need)
-	missing, due := shortages(s, entitled)
+	entitled := entitlements(s, min(need+reserve(s), s.ceiling))
+	due := shortage(s, entitled)
 	mine := entitled[slices.Index(s.members, s.self)]
 	if free < 0 {
 		// The ceiling was lowered. The division depends only on the record, so that the parts that
@@ -92,11 +92,7 @@
 	if due > 0 && target > max(held, mine) {
 		target = max(held, mine)
 	}
-	missing, due = missing-free, due-free
-	if idle := held - need - reserve(s); idle > 0 && missing > 0 {
-		target = held - min(idle, missing)
-	}
-	if target > mine && due > 0 {
+	if due -= free; target > mine && due > 0 {
 		target = min(target, max(mine, held-due))
 	}
 	if need > target {
@@ -124,18 +120,19 @@
 	return 0
 }
 
-// shortages returns what the other members want beyond what they hold, and the part of it they are entitled to.
-func shortages(s situation, entitled []int) (missing, due int) {
+// shortage returns what the other members want and are entitled to beyond what they hold.
+func shortage(s situation, entitled []int) int {
+	n := 0
 	for i, id := range s.members {
 		if h := s.record.of(id); id != s.self && h.Want > h.Held {
-			missing += h.Want - h.Held
-			due += max(0, entitled[i]-h.Held)
+			n += max(0, entitled[i]-h.Held)
 		}
 	}
-	return missing, due
+	return n
 }
 
 // entitlements divides the ceiling between the members by what they want, or hold if they want no more.
+// This entry's own demand is what it needs now, so that it returns what is idle.
 func entitlements(s situation, need int) []int {
 	claims := make([]claim, len(s.members))
 	for i, id := range s.members {
--- a/internal/state/grant/round.go
+++ b/internal/state/grant/round.go
@@ -93,7 +93,11 @@
 	for t := range v.Document().Teams {
 		b.account(t)
 	}
-	sweep := now.Sub(b.sweep) >= sweepInterval
+	interval := sweepInterval
+	if len(b.departed) > 0 {
+		interval = pollInterval
+	}
+	sweep := now.Sub(b.sweep) >= interval
 	if sweep {
 		b.sweep = now
 	}
--- a/internal/state/member/contact.go
+++ b/internal/state/member/contact.go
@@ -62,8 +62,17 @@
 	return !c.unlisted.IsZero() && now.Sub(c.unlisted) >= d
 }
 
-func (c *contact) removable(now time.Time) bool {
-	return c.replaced || c.silent(lostAfter, now) || c.silent(goneAfter, now) && !c.unlisted.IsZero()
+// removable reports whether a member may be removed by an entry instance that has been in contact with a
+// majority since a moment. Silence before that moment doesn't count: this instance may have been the lost one.
+func (c *contact) removable(majority, now time.Time) bool {
+	if majority.IsZero() {
+		return false
+	}
+	if c.replaced {
+		return true
+	}
+	lasted := min(now.Sub(c.failing), now.Sub(majority))
+	return !c.failing.IsZero() && (lasted >= lostAfter || lasted >= goneAfter && !c.unlisted.IsZero())
 }
 
 // probe asks every other member once and forgets those that are no longer members.
@@ -101,9 +110,26 @@
 		}
 	}
 	r.contacts = kept
+	if reached := r.reached(members, now); paused || reached <= len(members)/2 {
+		r.majority = time.Time{}
+	} else if r.majority.IsZero() {
+		r.majority = now
+	}
 	return due
 }
 
+// reached counts this entry instance, the members that answer, and those that ended; the caller holds mu.
+func (r *Registrar) reached(members []fleet.Member, now time.Time) int {
+	n := 0
+	for _, m := range members {
+		c := r.contacts[m.ID]
+		if m.ID == r.Self().ID || c != nil && (c.alive(now) || c.replaced || c.ended(now)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Registrar) ask(ctx context.Context, m fleet.Member, revision uint64) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -167,7 +193,7 @@
 	if !ok {
 		return
 	}
-	if err := r.remove(ctx, id); err != nil {
+	if err := r.removeAsMember(ctx, id); err != nil {
 		r.log.Warn("member: removal failed", zap.String("id", string(id)), zap.Error(err))
 		pause(ctx)
 		return
@@ -178,22 +204,10 @@
 func (r *Registrar) lost(members []fleet.Member, now time.Time) (fleet.EntryID, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var lost fleet.EntryID
-	reached := 0
 	for _, m := range members {
-		c := r.contacts[m.ID]
-		switch {
-		case m.ID == r.Self().ID, c != nil && c.alive(now):
-			reached++
-		case c == nil:
-		default:
-			if c.replaced || c.ended(now) {
-				reached++
-			}
-			if lost == "" && c.removable(now) {
-				lost = m.ID
-			}
+		if c := r.contacts[m.ID]; c != nil && c.removable(r.majority, now) {
+			return m.ID, true
 		}
 	}
-	return lost, lost != "" && reached > len(members)/2
+	return "", false
 }
--- /dev/null
+++ b/internal/state/member/member_test.go
@@ -0,0 +1,161 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+	"github.com/yuccahaven/yuccahaven/internal/state/member"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
+)
+
+// listing is a roster that lists names until they are unlisted; each request takes its delay.
+type listing struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+func (l *listing) List(context.Context) ([]roster.Listing, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []roster.Listing
+	for name := range l.names {
+		found = append(found, roster.Listing{ID: fleet.InstanceID(name), Kind: roster.Entry})
+	}
+	return found, nil
+}
+
+func (l *listing) set(name string, on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if delete(l.names, name); on {
+		l.names[name] = true
+	}
+}
+
+type entry struct {
+	*member.Registrar
+	keeper  *view.Keeper
+	link    *fakes.Link
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	dropped int
+}
+
+type cluster struct {
+	t       *testing.T
+	table   *fakes.Table
+	net     *fakes.Net
+	roster  *listing
+	entries map[string]*entry
+}
+
+func (c *cluster) start(name string) {
+	m := fleet.Member{ID: member.NewID(name), Address: name}
+	e := &entry{link: c.table.Link()}
+	e.keeper = view.New(m.ID, e.link, c.net.From(name), func([]fleet.Section) (fleet.Document, error) { return fleet.Document{}, nil },
+		view.WithGone(func(id fleet.EntryID) bool { return e.Registrar != nil && e.Gone(id) }))
+	e.Registrar = member.New(name, m, e.keeper, c.roster, member.WithRemoved(func(context.Context, fleet.EntryID) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.dropped++
+	}))
+	c.net.Listen(name, fakes.Node{Sync: e.keeper.HandleSync, Push: e.keeper.HandlePush})
+	c.roster.set(name, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go e.keeper.Run(ctx)
+	go e.Run(ctx)
+	c.entries[name] = e
+}
+
+// Guards against a lost entry instance that stays a member, a live one that is removed, and a removed one that doesn't come back.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			c := &cluster{t: t, table: fakes.NewTable(), net: fakes.NewNet(2 * time.Millisecond),
+				roster: &listing{names: map[string]bool{}}, entries: map[string]*entry{}}
+			t.Cleanup(c.close)
+			datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+				out := c.run(d)
+				synctest.Wait()
+				return strings.TrimLeft(out+"\n", "\n")
+			})
+		})
+	})
+}
+
+func (c *cluster) close() {
+	for _, e := range c.entries {
+		e.stop()
+	}
+	time.Sleep(time.Minute) // calls that are still open run into their timeouts
+}
+
+func (c *cluster) run(d *datadriven.TestData) string {
+	for _, a := range d.CmdArgs {
+		name := a.Key
+		switch d.Cmd {
+		case "start":
+			c.start(name)
+		case "kill":
+			c.entries[name].stop()
+			c.net.Close(name)
+			delete(c.entries, name)
+		case "unlist", "list":
+			c.roster.set(name, d.Cmd == "list")
+		case "isolate", "heal":
+			c.net.Isolate(name, d.Cmd == "isolate")
+			c.entries[name].link.Set(fakes.Faults{Down: d.Cmd == "isolate"})
+		case "cut":
+			c.net.Cut(d.CmdArgs[0].Key, d.CmdArgs[1].Key, true)
+		case "down", "up":
+			c.entries[name].link.Set(fakes.Faults{Down: d.Cmd == "down"})
+		case "leave":
+			return fmt.Sprint(c.entries[name].Leave(c.t.Context()))
+		case "wait":
+			w, err := time.ParseDuration(name)
+			if err != nil {
+				d.Fatalf(c.t, "%v", err)
+			}
+			time.Sleep(w)
+		case "show":
+			return c.show(c.entries[name])
+		default:
+			d.Fatalf(c.t, "unknown command")
+		}
+	}
+	return ""
+}
+
+// show lists the members by name as an entry sees them, and who dropped work because it was removed.
+func (c *cluster) show(e *entry) string {
+	var members, dropped []string
+	for _, m := range e.keeper.View().Members() {
+		name := m.Address
+		if !e.Alive(m.ID) {
+			name += " (silent)"
+		}
+		members = append(members, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.entries)) {
+		o := c.entries[name]
+		o.mu.Lock()
+		if o.dropped > 0 {
+			dropped = append(dropped, fmt.Sprintf("%s %d", name, o.dropped))
+		}
+		o.mu.Unlock()
+	}
+	return fmt.Sprintf("members %v, dropped work %v", members, dropped)
+}
--- a/internal/state/member/registrar.go
+++ b/internal/state/member/registrar.go
@@ -44,6 +44,9 @@
 	jitterMost  = 2 * time.Second
 )
 
+// errNotMember keeps an entry instance that was removed from removing others.
+var errNotMember = errors.New("member: this entry instance is no member")
+
 // Views is what the Registrar needs of *view.Keeper.
 type Views interface {
 	View() fleet.View
@@ -71,6 +74,8 @@
 	mu       sync.Mutex
 	contacts map[fleet.EntryID]*contact
 	lastTick time.Time
+	// majority is since when this entry instance has been in contact with a majority of the members; zero if it is not.
+	majority time.Time
 }
 
 // Option changes a Registrar.
@@ -208,13 +213,28 @@
 }
 
 func (r *Registrar) remove(ctx context.Context, id fleet.EntryID) error {
+	_, err := r.views.Edit(ctx, "entry "+r.name, removal(id))
+	return written(err)
+}
+
+// removeAsMember removes another member unless this entry instance has itself been removed meanwhile.
+func (r *Registrar) removeAsMember(ctx context.Context, id fleet.EntryID) error {
 	_, err := r.views.Edit(ctx, "entry "+r.name, func(v fleet.View) ([]fleet.Item, error) {
+		if _, ok := v.Member(r.Self().ID); !ok {
+			return nil, errNotMember
+		}
+		return removal(id)(v)
+	})
+	return written(err)
+}
+
+func removal(id fleet.EntryID) view.Change {
+	return func(v fleet.View) ([]fleet.Item, error) {
 		if _, ok := v.Member(id); !ok {
 			return nil, nil
 		}
 		return []fleet.Item{view.MemberRemoval(id)}, nil
-	})
-	return written(err)
+	}
 }
 
 func pause(ctx context.Context) {
--- a/internal/state/view/history_test.go
+++ b/internal/state/view/history_test.go
@@ -34,6 +34,7 @@
 		steps := rapid.SliceOfN(rapid.IntRange(0, 9999), 10, 50).Draw(r, "steps")
 		synctest.Test(t, func(t *testing.T) {
 			h := &history{cluster: newCluster(t), incarnation: 1, last: map[string]uint64{}}
+			h.seeds.Store(&names)
 			for _, name := range names {
 				h.start(name, "1", fakes.Faults{})
 			}
@@ -95,7 +96,6 @@
 	h.stop(name)
 	h.incarnation++
 	delete(h.last, name)
-	h.seeds = names
 	h.start(name, fmt.Sprint(h.incarnation), fakes.Faults{Down: h.incarnation%2 == 0})
 }
 
--- a/internal/state/view/view_test.go
+++ b/internal/state/view/view_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,12 +51,13 @@
 	table   *fakes.Table
 	net     *fakes.Net
 	entries map[string]*entry
-	seeds   []string
+	seeds   atomic.Pointer[[]string]
 	gone    sync.Map
 }
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{t: t, table: fakes.NewTable(), net: fakes.NewNet(2 * time.Millisecond), entries: map[string]*entry{}}
+	c.seeds.Store(&[]string{})
 	t.Cleanup(func() {
 		for name := range c.entries {
 			c.stop(name)
@@ -70,7 +72,7 @@
 	e := &entry{link: c.table.Link(), done: make(chan struct{})}
 	e.link.Set(faults)
 	e.Keeper = view.New(fleet.EntryID(name+"."+incarnation), e.link, c.net.From(name), decode,
-		view.WithSeeds(func(context.Context) ([]string, error) { return c.seeds, nil }),
+		view.WithSeeds(func(context.Context) ([]string, error) { return *c.seeds.Load(), nil }),
 		view.WithGone(func(id fleet.EntryID) bool { _, ok := c.gone.Load(id); return ok }))
 	c.net.Listen(name, fakes.Node{Sync: e.HandleSync, Push: e.HandlePush})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -191,7 +193,7 @@
 	case "stop":
 		c.stop(names[0])
 	case "seeds":
-		c.seeds = names
+		c.seeds.Store(&names)
 	case "gone":
 		c.gone.Store(fleet.EntryID(names[0]), true)
 	case "join":
