--- a/internal/state/claim/record.go
+++ b/internal/state/claim/record.go
@@ -44,7 +44,7 @@
 	Boot string `json:"boot,omitempty"`
 	// InputDigest tells requests that reuse a key with another input.
 	InputDigest string `json:"check,omitempty"`
-	State   State            `json:"state"`
+	State       State  `json:"state"`
 	// Input and Result name objects in the object store; Length and Digest describe the result.
 	Input  string `json:"input,omitempty"`
 	Result string `json:"result,omitempty"`
