--- a/cmd/yuccahaven/main.go
+++ b/cmd/yuccahaven/main.go
@@ -1,4 +1,18 @@
-// Command yuccahaven is described in the README.
+// Command yuccahaven runs an entry instance of the fleet capacity and maintenance manager, and its operators' commands.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/yuccahaven/yuccahaven/internal/serve/node"
+	"github.com/yuccahaven/yuccahaven/internal/tool/opctl"
+)
+
+func main() {
+	app := kingpin.New("yuccahaven", "Fleet capacity and maintenance manager.")
+	node.Register(app)
+	opctl.Register(app)
+	os.Exit(opctl.Run(app, os.Args[1:]))
+}
--- a/internal/state/claim/record.go
+++ b/internal/state/claim/record.go
@@ -40,7 +40,11 @@
 	Async   bool             `json:"async,omitempty"` // the caller polls for the result; adopted if its owner is lost
 	Key     string           `json:"key,omitempty"`   // the caller's idempotency key
 	Timeout time.Duration    `json:"timeout,omitempty"`
-	State   State            `json:"state"`
+	// Boot is the worker's boot id at or before the start: a restarted worker no longer knows what it ran.
+	Boot string `json:"boot,omitempty"`
+	// InputDigest tells requests that reuse a key with another input.
+	InputDigest string `json:"check,omitempty"`
+	State       State  `json:"state"`
 	// Input and Result name objects in the object store; Length and Digest describe the result.
 	Input  string `json:"input,omitempty"`
 	Result string `json:"result,omitempty"`
