upkeep, budget: Test random races of operators, planners and failures

The tests had each kind of disturbance alone. TestRaces of upkeep now mixes operators' drains and moves, failing machines and two planners, and its workers accept starts for 3 s after a drain, as the design page allows. A reboot while such a start may be on its way counts as an interruption. The budget's race test takes zones out and back as well.

Nothing had to be changed in the planners.

--- a/internal/model/spec/spec_test.go
+++ b/internal/model/spec/spec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -130,3 +131,22 @@
 		}
 	})
 }
+
+// BenchmarkCheck checks one changed section in a document of the size to design for: 271 pools and 170 teams.
+func BenchmarkCheck(b *testing.B) {
+	v := fleet.View{}
+	for i := range 271 {
+		v = v.WithSection(fleet.Section{Name: fmt.Sprint("pool/p", i), Text: "min: 100\nwave: 5\n"})
+	}
+	for i := range 170 {
+		v = v.WithSection(fleet.Section{Name: fmt.Sprint("team/t", i), Text: "share: 3\nceiling: 400\n"})
+		for n := range 4 {
+			v = v.WithSection(fleet.Section{Name: fmt.Sprintf("queue/q%d-%d", i, n), Text: fmt.Sprintf("team: t%d\npool: p%d\nwithin: 5s\n", i, i)})
+		}
+	}
+	for b.Loop() {
+		if _, findings := spec.Check(v, fleet.Section{Name: "team/t1", Text: "ceiling: 500"}); len(findings) > 0 {
+			b.Fatal(findings)
+		}
+	}
+}
--- a/internal/plan/budget/budget_test.go
+++ b/internal/plan/budget/budget_test.go
@@ -138,6 +138,8 @@
 	planned bool
 	failed  []fleet.InstanceID
 	items   []fleet.Item
+	// zone is set to the other state of service instead, if not empty.
+	zone fleet.AvailabilityZone
 }
 
 // Guards against races: several operators and planners prepare changes on views that may be old by the time they
@@ -149,16 +151,19 @@
 		failed := map[fleet.InstanceID]bool{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			a := &actors[rapid.IntRange(0, 3).Draw(t, "actor")]
-			if a.items == nil {
+			if a.items == nil && a.zone == "" {
 				*a = prepare(t, v, failed)
 				continue
 			}
 			if a.base == v.Revision() {
 				after := apply(t, v, a.items)
+				if a.zone != "" {
+					after = after.WithZone(a.zone, toggled(v, a.zone))
+				}
 				checkBudgets(t, v, after, *a)
 				v = after
 			}
-			a.items = nil
+			*a = actor{}
 			checkMembership(t, v)
 		}
 	})
@@ -183,7 +188,7 @@
 	slices.Sort(down)
 	a := actor{base: v.Revision(), planned: true, failed: down}
 	var err error
-	switch rapid.SampledFrom([]string{"drain", "renew", "move", "undrain", "reboot", "activate", "join", "leave", "fail"}).Draw(t, "change") {
+	switch rapid.SampledFrom([]string{"drain", "renew", "move", "undrain", "reboot", "activate", "join", "leave", "fail", "zone"}).Draw(t, "change") {
 	case "drain":
 		a.items, err = budget.Drain(v, id, down...)
 	case "renew":
@@ -202,6 +207,13 @@
 	case "leave":
 		a.planned = false
 		a.items = budget.Leave(v, id)
+	case "zone":
+		a.zone = rapid.SampledFrom([]fleet.AvailabilityZone{"z0", "z1"}).Draw(t, "zone")
+		d := v.Document()
+		d.Zones = map[fleet.AvailabilityZone]fleet.ZoneSection{a.zone: {State: toggled(v, a.zone).State}}
+		if len(budget.Zone(v, fleet.Section{Name: "zone/" + string(a.zone)}, d, down...)) > 0 {
+			return actor{}
+		}
 	case "fail":
 		// Plans made before the failure don't know of it; the later ones do.
 		failed[id] = !failed[id]
@@ -216,6 +228,14 @@
 	return a
 }
 
+// toggled returns the other state of service of a zone.
+func toggled(v fleet.View, z fleet.AvailabilityZone) fleet.ZoneStatus {
+	if v.Zone(z).State == fleet.ZoneOut {
+		return fleet.ZoneStatus{State: fleet.ZoneIn}
+	}
+	return fleet.ZoneStatus{State: fleet.ZoneOut}
+}
+
 // checkBudgets compares availability as the author of the change knew it: no plan can foresee a failure.
 func checkBudgets(t *rapid.T, before, after fleet.View, a actor) {
 	if !a.planned {
--- a/internal/plan/upkeep/upkeep_test.go
+++ b/internal/plan/upkeep/upkeep_test.go
@@ -21,6 +21,7 @@
 	boot        int
 	busyUntil   time.Time
 	bootedAt    time.Time
+	startable   time.Time
 	dead        bool
 	reboots     int
 	interrupted int
@@ -36,12 +37,14 @@
 	failures int
 	stale    bool
 	listings []roster.Listing
+	late     *rand.Rand
 }
 
 const taskTime = 20 * time.Second
 
 func newSite(t *testing.T, instances, least, wave int) *site {
-	s := &site{t: t, machines: map[fleet.InstanceID]*machine{}, boots: 90 * time.Second}
+	s := &site{t: t, machines: map[fleet.InstanceID]*machine{}, boots: 90 * time.Second,
+		late: rand.New(rand.NewPCG(3, 4))}
 	var members []fleet.PoolMember
 	random := rand.New(rand.NewPCG(1, 2))
 	for i := range instances {
@@ -65,7 +68,32 @@
 	return nil
 }
 
+// lateStart is how long after a drain the design page lets a task start: 2 s of freshness and 1 s of reservation.
+const lateStart = 3 * time.Second
+
+// tick starts a task on every idle machine in service, and now and then on one that a start still reaches.
+func (s *site) tick() {
+	for _, p := range s.view.PoolNames() {
+		for _, member := range s.view.Pool(p) {
+			m, ok := s.machines[member.ID]
+			if !ok {
+				continue
+			}
+			if s.view.Startable(p, member.ID) {
+				m.startable = time.Now()
+			}
+			up := !m.dead && !time.Now().Before(m.bootedAt)
+			late := time.Since(m.startable) < lateStart && s.late.IntN(4) == 0
+			if up && (s.view.Startable(p, member.ID) || late) && !time.Now().Before(m.busyUntil) {
+				m.busyUntil = time.Now().Add(taskTime)
+			}
+		}
+	}
+}
+
 func (s *site) Edit(_ context.Context, _ string, change func(fleet.View) ([]fleet.Item, error)) (uint64, error) {
+	s.tick()
+	defer s.tick()
 	items, err := change(s.view)
 	if err != nil || len(items) == 0 {
 		return s.view.Revision(), err
@@ -101,9 +129,6 @@
 	if m.dead || time.Now().Before(m.bootedAt) {
 		return worker.Report{}, worker.ErrRefused
 	}
-	if s.view.Startable("main", id) && !time.Now().Before(m.busyUntil) {
-		m.busyUntil = time.Now().Add(taskTime)
-	}
 	r := worker.Report{Instance: id, Version: m.version, Boot: fmt.Sprint(id, m.boot)}
 	if time.Now().Before(m.busyUntil) {
 		r.Used = 1
@@ -117,11 +142,13 @@
 		s.failures--
 		return errors.New("platform is unavailable")
 	}
-	if time.Now().Before(m.busyUntil) {
+	// A start that is on its way is interrupted too, as its outcome is unknown to the caller.
+	if time.Now().Before(m.busyUntil) || time.Since(m.startable) < lateStart {
 		m.interrupted++
 	}
 	m.reboots++
 	m.boot++
+	m.startable = time.Time{}
 	m.bootedAt = time.Now().Add(s.boots)
 	if version != "" {
 		m.version = version
@@ -139,6 +166,7 @@
 func (s *site) runUntil(limit time.Duration, done func() bool, planners ...*Planner) time.Duration {
 	start := time.Now()
 	for time.Since(start) < limit && !done() {
+		s.tick()
 		for _, p := range planners {
 			p.pass(context.Background())
 		}
@@ -275,6 +303,78 @@
 	})
 }
 
+// Guards against any order of operators' changes, failures and two planners that breaks a budget, interrupts a task,
+// loses an instance or leaves one behind. Once the operators and failures rest, the roll-out has to complete.
+func TestRaces(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t, 8, 4, 3)
+			random := rand.New(rand.NewPCG(seed, 0))
+			planners := []*Planner{s.planner(), s.planner()}
+			for range 200 {
+				s.disturb(random)
+				start := time.Now()
+				pause := time.Duration(random.Int64N(int64(10 * time.Second)))
+				s.runUntil(time.Hour, func() bool { return time.Since(start) >= pause }, planners...)
+				if random.IntN(20) == 0 {
+					planners[0] = s.planner()
+				}
+			}
+			s.calm()
+			s.runUntil(everyTwoWeeks, func() bool { return s.rolledOut() && s.settled() }, planners...)
+			if _, interrupted := s.counts(); interrupted != 0 {
+				t.Errorf("seed %d: %d reboots interrupted a task", seed, interrupted)
+			}
+			if n := len(s.view.Pool("main")) + len(s.view.Pool("other")); n != 8 {
+				t.Errorf("seed %d: %d instances, want 8", seed, n)
+			}
+		})
+	}
+}
+
+// disturb lets an operator change something or a machine fail or come back.
+func (s *site) disturb(random *rand.Rand) {
+	id := fleet.InstanceID(fmt.Sprintf("w%03d", random.IntN(len(s.machines))))
+	pool, _ := s.view.PoolOf(id)
+	step := map[int]budget.Step{
+		0: func(v fleet.View) ([]fleet.Item, error) { return budget.Drain(v, id, s.failed()...) },
+		1: func(v fleet.View) ([]fleet.Item, error) { return budget.Undrain(v, id) },
+		2: func(v fleet.View) ([]fleet.Item, error) { return budget.Move(v, id, "other", s.failed()...) },
+		3: func(v fleet.View) ([]fleet.Item, error) { return budget.Move(v, id, "main", s.failed()...) },
+	}[random.IntN(6)]
+	if step != nil {
+		_, _ = s.Edit(context.Background(), "operator", step)
+		return
+	}
+	if m := s.machines[id]; m.dead || pool == "main" {
+		m.dead = !m.dead
+	}
+}
+
+// calm ends every failure and every hold of an operator, and gives the budget room, which moves may have used up.
+func (s *site) calm() {
+	s.view.Document().Pools["main"] = fleet.PoolSection{Wave: 3, Version: "v2"}
+	for id, m := range s.machines {
+		m.dead = false
+		pool, _ := s.view.PoolOf(id)
+		if x, _ := s.view.PoolMember(pool, id); x.State == fleet.InstanceDraining && x.Target == "" {
+			_, _ = s.Edit(context.Background(), "operator", func(v fleet.View) ([]fleet.Item, error) { return budget.Undrain(v, id) })
+		}
+	}
+}
+
+// settled reports whether every instance is back in service.
+func (s *site) settled() bool {
+	for _, p := range s.view.PoolNames() {
+		for _, m := range s.view.Pool(p) {
+			if m.State != fleet.InstanceActive {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Guards against reboots that are requested on an old view and against a roll-out that can't be withdrawn.
 func TestStaleAndWithdrawn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
