--- a/internal/sched/alloc/coordinator.go
+++ b/internal/sched/alloc/coordinator.go
@@ -77,7 +77,7 @@
 func NewCoordinator(self fleet.EntryID, views Viewer, prober Prober, options ...CoordinatorOption) *Coordinator {
 	c := &Coordinator{
 		self: self, views: views, prober: prober, connections: place.DefaultConnections,
-		policy: func() share.Policy { return share.Occupancy{} },
+		policy: func() share.Policy { return share.NewBalance() },
 		pools:  map[fleet.PoolName]*pool{}, fresh: make(chan *pool, freshPools),
 	}
 	for _, o := range options {
@@ -145,7 +145,7 @@
 	r, err := c.prober.Report(ctx, w.address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.probed(w, r, err)
+	p.probed(w, r, err, time.Now())
 }
 
 func (c *Coordinator) pool(name fleet.PoolName, now time.Time) *pool {
--- a/internal/sched/alloc/pool.go
+++ b/internal/sched/alloc/pool.go
@@ -20,6 +20,7 @@
 	startable bool
 	leaving   bool
 	tried     bool // a probe has ended
+	reported  bool // a probe was answered
 	probing   bool
 	boot      string
 	// leftover are running tasks that no entry reports, with their slots; unclaimed are those of the last report.
@@ -155,6 +156,7 @@
 		slots = p.health.Limit(w.ID, w.Slots)
 	}
 	p.picker.Limit(w.Node, slots)
+	p.picker.Defer(w.Node, p.health.State(w.ID) == health.Suspect)
 }
 
 func (p *pool) team(name fleet.TeamName) *team {
