--- a/internal/serve/admin/admin_test.go
+++ b/internal/serve/admin/admin_test.go
@@ -279,3 +279,28 @@
 		t.Errorf("answer %d, instance %s; want 401 and active", w.Code, m.State)
 	}
 }
+
+// Guards against a return that is taken as complete before every pool with the zone in use has reported it for the
+// present generation, or never.
+func TestInService(t *testing.T) {
+	step := func(n int) admin.ZoneReturn {
+		return admin.ReturnOf("main", peer.ZoneStep{Zone: "east", Generation: 7, Step: n})
+	}
+	for _, c := range []struct {
+		name string
+		zone admin.ZoneStatus
+		want bool
+	}{
+		{"never out", admin.ZoneStatus{State: fleet.ZoneIn, Pools: []fleet.PoolName{"main"}}, true},
+		{"out", admin.ZoneStatus{State: fleet.ZoneOut, Generation: 7}, false},
+		{"not begun", admin.ZoneStatus{State: fleet.ZoneIn, Generation: 7, Pools: []fleet.PoolName{"main"}}, false},
+		{"settling", admin.ZoneStatus{State: fleet.ZoneIn, Generation: 7, Pools: []fleet.PoolName{"main"}, Returns: []admin.ZoneReturn{step(0)}}, false},
+		{"last step", admin.ZoneStatus{State: fleet.ZoneIn, Generation: 7, Pools: []fleet.PoolName{"main"}, Returns: []admin.ZoneReturn{step(5)}}, false},
+		{"back", admin.ZoneStatus{State: fleet.ZoneIn, Generation: 7, Pools: []fleet.PoolName{"main"}, Returns: []admin.ZoneReturn{step(6)}}, true},
+		{"another pool missing", admin.ZoneStatus{State: fleet.ZoneIn, Generation: 7, Pools: []fleet.PoolName{"main", "other"}, Returns: []admin.ZoneReturn{step(6)}}, false},
+	} {
+		if got := c.zone.InService(); got != c.want {
+			t.Errorf("%s: in service %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/serve/admin/status.go
+++ b/internal/serve/admin/status.go
@@ -53,7 +53,7 @@
 	Pool       fleet.PoolName         `json:"pool"`
 	Zone       fleet.AvailabilityZone `json:"zone"`
 	Generation uint64                 `json:"generation"`
-	// State is StateReturning, StateRamping or StateInService; Percent is the part of the zone's slots in use.
+	// State is StateSettling, StateRamping or StateInService; Percent is the part of the zone's slots in use.
 	State   string `json:"state"`
 	Percent int    `json:"percent"`
 }
@@ -105,10 +105,10 @@
 
 // The states of a zone's return in a pool, as entry instances know them.
 const (
-	// StateReturning covers settling and probing.
-	StateReturning = "returning"
+	// StateSettling covers settling and probing, which entry instances can't tell apart.
+	StateSettling  = "settling"
 	StateRamping   = "ramping"
-	StateInService = "in service"
+	StateInService = "in"
 )
 
 // rampPercent are the parts of a zone's slots in use by step, see section 4.8 of the design page.
@@ -116,7 +116,7 @@
 
 // ReturnOf describes a step that a pool's coordinator reported.
 func ReturnOf(p fleet.PoolName, s peer.ZoneStep) ZoneReturn {
-	r := ZoneReturn{Pool: p, Zone: s.Zone, Generation: s.Generation, State: StateReturning}
+	r := ZoneReturn{Pool: p, Zone: s.Zone, Generation: s.Generation, State: StateSettling}
 	switch {
 	case s.Step >= ramp.StepInService:
 		r.State, r.Percent = StateInService, 100
