runner: Renew no leases under a stale view

Cause: an entry instance that is cut off from the store and its peers but not from the workers went on renewing the leases of its running tasks.

Ruled out: the settle time itself (the removal was accepted and 16 s had passed) and late starts (nothing was started after the cut).

Change: renewAll does nothing while the view is not fresh. A cut shorter than two renewal intervals costs no task its lease.

--- a/internal/serve/runner/renew.go
+++ b/internal/serve/runner/renew.go
@@ -11,8 +11,12 @@
 )
 
 // renewAll renews the leases of all running tasks, one request per worker. Workers that have been silent are left
-// out, so that it becomes certain when their leases lapse.
+// out, so that it becomes certain when their leases lapse. Nothing is renewed under a stale view: this instance may
+// have been removed, and its ceiling grants return to the others once its leases have lapsed.
 func (r *Runner) renewAll(context.Context) {
+	if r.parts.Views.Fresh() != nil {
+		return
+	}
 	byAddress := map[string][]*attempt{}
 	r.mu.Lock()
 	for _, a := range r.attempts {
