runner: Tell the grants when waiting work has got its permits

Cause: a task that left the line with a permit was taken off the count of waiting slots, but the grants were not told.

Ruled out: nudges that arrive while the slots are in use (a reading at every release under contention changed nothing), and the settle time of removed holders.

Change: the number is passed on at each change, under the lock that guards it, so that an older number never replaces a newer one.

--- a/internal/serve/runner/queue.go
+++ b/internal/serve/runner/queue.go
@@ -61,9 +61,9 @@
 	t.admitted, t.ticket = true, ticket
 	r.waiting[t.team] += t.job.Slots
 	r.dispatch(p, t.team)
-	want, poker := r.waiting[t.team], r.poker
+	r.want(t.team)
+	poker := r.poker
 	r.mu.Unlock()
-	r.parts.Grants.Want(t.team, want)
 	poker.Poke(t.pool)
 	return nil
 }
@@ -71,16 +71,18 @@
 // dequeue removes a waiting task; false means that an attempt was granted to it meanwhile.
 func (r *Runner) dequeue(t *task) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	ok := r.poolLocked(t.pool).queue.Cancel(t.ticket)
 	if ok {
 		r.waiting[t.team] -= t.job.Slots
+		r.want(t.team)
 	}
-	want := r.waiting[t.team]
-	r.mu.Unlock()
-	r.parts.Grants.Want(t.team, want)
 	return ok
 }
 
+// want tells the grants how many slots wait. The caller holds mu, so that an older number never replaces a newer one.
+func (r *Runner) want(t fleet.TeamName) { r.parts.Grants.Want(t, r.waiting[t]) }
+
 // dispatch hands a team's unused permits to its waiting tasks, as far as its ceiling grants allow.
 func (r *Runner) dispatch(p *pool, team fleet.TeamName) {
 	p.dropExpired(team, time.Now())
@@ -112,6 +114,7 @@
 		r.parts.Grants.Release(team, spare)
 	}
 	r.waiting[team] -= t.job.Slots
+	r.want(team)
 	t.number++
 	a := &attempt{task: t, id: attemptID(t.id, t.number), pool: t.pool, instance: h.permit.Worker,
 		slots: t.job.Slots, expires: h.expires}
