runner: Run asynchronous tasks whose acceptance was in doubt

Cause: when the write of an asynchronous task's record got no reply, the entry instance answered "unknown" and forgot the task, although the record was in the store and named this live instance as its owner. A repeated request at another instance found the record and was answered 202, but nobody ran the task: adoption takes only records whose owner is no longer a member.

Ruled out: the ledger, which settles such writes, but for longer (5 s) than the runner waits (3 s).

--- a/internal/serve/runner/adopt.go
+++ b/internal/serve/runner/adopt.go
@@ -20,6 +20,7 @@
 	v := r.parts.Views.View()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	r.adoptUnsettled(ctx, v)
 	orphans, err := r.parts.Records.Orphans(ctx, func(id fleet.EntryID) bool {
 		_, ok := v.Member(id)
 		return ok
@@ -35,6 +36,41 @@
 	}
 }
 
+// unsettled is an asynchronous task that was given up on although its record may have been written, and may name this
+// instance as the owner.
+type unsettled struct {
+	taskKey
+	since time.Time
+}
+
+// unsettledFor is how long such a record is looked for: the ledger tries to write it for 5 s more, and a slow store
+// may apply a write after its reply has timed out.
+const unsettledFor = 30 * time.Second
+
+// adoptUnsettled takes up the tasks whose acceptance was in doubt and that have a record after all.
+func (r *Runner) adoptUnsettled(ctx context.Context, v fleet.View) {
+	r.mu.Lock()
+	open := r.unsettled
+	r.unsettled = nil
+	r.mu.Unlock()
+	for _, u := range open {
+		c, err := r.parts.Records.Find(ctx, u.team, u.id)
+		switch {
+		case err == nil && (c.Final() || !c.Async):
+		case err == nil && c.Owner == r.parts.Members.Self().ID:
+			r.adopt(ctx, v, c)
+		case err != nil && !isAbsent(err) || time.Since(u.since) < unsettledFor:
+			r.lookAgain(u)
+		}
+	}
+}
+
+func (r *Runner) lookAgain(u unsettled) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unsettled = append(r.unsettled, u)
+}
+
 // ranksFirst reports whether this instance is the first among the live members for a task, by rendezvous hashing.
 func (r *Runner) ranksFirst(v fleet.View, id string) bool {
 	self := r.parts.Members.Self().ID
@@ -69,6 +105,9 @@
 	written, err := r.parts.Records.Replace(ctx, c, next)
 	if err != nil {
 		r.log.Info("orphaned task not adopted", idField(c.ID), errField(err))
+		if isUnsettled(err) {
+			r.lookAgain(unsettled{taskKey{c.Team, c.ID}, time.Now()})
+		}
 		return
 	}
 	t := r.revive(v, written, input)
--- a/internal/serve/runner/async.go
+++ b/internal/serve/runner/async.go
@@ -70,14 +70,15 @@
 	return r.write(ctx, t, next)
 }
 
-// notAccepted answers a request whose record could not be written. If the write may have taken effect, the task may
-// be adopted and run.
+// notAccepted answers a request whose record could not be written. If the write may have taken effect, a repeated
+// request can find the record, so the task is looked for and run like an orphaned one.
 func (r *Runner) notAccepted(ctx context.Context, t *task, err error) (string, error) {
 	if isTaken(err) {
 		c, err := r.earlier(ctx, t)
 		return c.ID, err
 	}
 	if isUnsettled(err) {
+		r.lookAgain(unsettled{taskKey{t.team, t.id}, time.Now()})
 		return "", storeDown(reject.WorkUnknown, err)
 	}
 	return "", storeDown(reject.WorkNotRun, err)
--- a/internal/serve/runner/runner.go
+++ b/internal/serve/runner/runner.go
@@ -48,9 +48,11 @@
 	tasks    map[taskKey]*task
 	attempts map[fleet.TaskID]*attempt
 	outcomes map[fleet.PoolName][]peer.Outcome
-	stale    time.Time // since when the view has been stale; zero while it is fresh
-	stopping bool
-	idle     chan struct{}
+	// unsettled are asynchronous tasks that were given up on although their records may have been written.
+	unsettled []unsettled
+	stale     time.Time // since when the view has been stale; zero while it is fresh
+	stopping  bool
+	idle      chan struct{}
 }
 
 // taskKey identifies a task together with its team, so that no team reaches another team's task.
