--- /dev/null
+++ b/internal/lab/matrix/entry.go
@@ -0,0 +1,305 @@
+package matrix
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/port"
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
+	"github.com/yuccahaven/yuccahaven/internal/plan/upkeep"
+	"github.com/yuccahaven/yuccahaven/internal/plat/object"
+	"github.com/yuccahaven/yuccahaven/internal/plat/rest"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
+	"github.com/yuccahaven/yuccahaven/internal/sched/alloc"
+	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
+	"github.com/yuccahaven/yuccahaven/internal/serve/caller"
+	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
+	"github.com/yuccahaven/yuccahaven/internal/state/claim"
+	"github.com/yuccahaven/yuccahaven/internal/state/grant"
+	"github.com/yuccahaven/yuccahaven/internal/state/member"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+const (
+	peerToken  = "peers"
+	adminToken = "operators"
+	// leaveTime bounds the return of grants and the removal from the members, as in serve/node.
+	leaveTime = 15 * time.Second
+)
+
+// Entry is one entry instance, assembled as serve/node does, over in-memory connections.
+type Entry struct {
+	world    *World
+	name     string
+	gate     *gate
+	listener *listener
+	stop     context.CancelFunc
+
+	peers     *peer.Client
+	keeper    *view.Keeper
+	registrar *member.Registrar
+	book      *grant.Book
+	ledger    *claim.Ledger
+	runner    *runner.Runner
+	roster    *roster.Client
+	workers   *worker.Client
+	host      *port.Host
+
+	mu          sync.Mutex
+	coordinator *alloc.Coordinator
+	agent       *alloc.Agent
+	halt        context.CancelFunc
+	leaving     map[fleet.InstanceID]bool
+	left        bool
+}
+
+// newEntry assembles an entry instance and starts it.
+func (w *World) newEntry(name string, self fleet.EntryID) *Entry {
+	e := &Entry{world: w, name: name, gate: &gate{end: w.end}, listener: newListener(name)}
+	over := rest.WithTransport(&link{e})
+	tables := w.without.table(e, table.NewClient("http://table", over))
+	objects := object.NewClient("http://object", over)
+	e.roster, e.workers = roster.NewClient("http://roster", over), worker.NewClient(over)
+	e.peers = peer.NewClient(peerToken, peer.WithDial(func(ctx context.Context, _, to string) (net.Conn, error) {
+		return w.dial(e, ctx, to)
+	}))
+	e.keeper = view.New(self, tables, w.without.peers(e.peers), decode, view.WithLog(w.log(name)), view.WithSeeds(e.seeds))
+	m := fleet.Member{ID: self, Address: name, Caller: name, Zone: "z1"}
+	e.registrar = member.New(name, m, e.keeper, e.roster, member.WithLog(w.log(name)), member.WithRemoved(e.removed))
+	e.book = grant.New(self, e.keeper, tables, e.peers, grant.WithLog(w.log(name)))
+	e.ledger = claim.New(func() fleet.EntryID { return e.registrar.Self().ID }, tables, objects, claim.WithLog(w.log(name)))
+	e.runner = runner.New(runner.Parts{Views: w.without.views(e.keeper), Workers: w.without.workers(e.workers),
+		Grants: w.without.grants(e.book), Records: w.without.records(e.ledger), Objects: objects,
+		Members: e.registrar, Roster: e, Owners: owners{e.peers}, Log: w.log(name)})
+	e.runner.Attach(e)
+	e.run()
+	return e
+}
+
+// log returns the log of one entry instance.
+func (w *World) log(name string) *zap.Logger { return w.logger.Named(name) }
+
+func decode(sections []fleet.Section) (fleet.Document, error) {
+	d, _ := spec.Decode(sections)
+	return d, nil
+}
+
+func (e *Entry) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	e.restart(ctx, e.registrar.Self().ID)
+	planner := upkeep.New(upkeep.Options{Keeper: e.keeper, Prober: e.workers, Platform: e.roster, Leads: e.leads})
+	follower := upkeep.NewFollower(upkeep.FollowerOptions{Keeper: e.keeper, Roster: e.roster,
+		Leads: func() bool { return e.leads("roster") }, Failed: func() []fleet.InstanceID { return nil }})
+	for _, run := range []func(context.Context){e.keeper.Run, e.registrar.Run, e.book.Run, e.ledger.Run, e.runner.Run,
+		e.watch, e.servePeers, planner.Run, follower.Run} {
+		go run(ctx)
+	}
+	e.host = e.world.net.Listen(e.name, e.handler())
+}
+
+// leads reports whether this entry instance is the first live member in rank.
+func (e *Entry) leads(p fleet.PoolName) bool {
+	for _, m := range alloc.Rank(e.keeper.View().Members(), p) {
+		if e.registrar.Alive(m.ID) {
+			return m.ID == e.registrar.Self().ID
+		}
+	}
+	return false
+}
+
+func (e *Entry) servePeers(ctx context.Context) {
+	s := peer.NewServer(peerToken)
+	handle(s, e, peer.MethodSync, "sync", e.keeper.HandleSync, func(q peer.SyncRequest) fleet.EntryID { return q.From })
+	handle(s, e, peer.MethodPush, "push", e.keeper.HandlePush, func(q peer.PushRequest) fleet.EntryID { return q.From })
+	handle(s, e, peer.MethodNudge, "nudge", e.book.HandleNudge, func(q peer.NudgeRequest) fleet.EntryID { return q.From })
+	handle(s, e, peer.MethodPoll, "poll", e.poll, func(q peer.PollRequest) fleet.EntryID { return q.From })
+	handle(s, e, peer.MethodTask, "task", e.runner.HandleTask, func(q peer.TaskRequest) fleet.EntryID { return q.From })
+	_ = s.Serve(ctx, e.listener)
+}
+
+// handle registers a method whose requests are subject to the faults of the cell as messages of their sender.
+func handle[Q, A peer.Message](s *peer.Server, e *Entry, method peer.Method[Q, A], step string,
+	f func(context.Context, Q) (A, error), from func(Q) fleet.EntryID) {
+	peer.Handle(s, method, func(ctx context.Context, q Q) (A, error) {
+		sender := e.world.entry(nameOf(from(q)))
+		if sender == nil {
+			return f(ctx, q)
+		}
+		m := message{entry: sender, step: "peer." + step, host: e.name}
+		a, err := exchange(ctx, e.world, m, func(ctx context.Context) (A, error) { return f(ctx, q) })
+		if err != nil && isBroken(err) {
+			e.world.eachConn(sender.name, e.name, func(c *conn) { _ = c.Close() })
+		}
+		return a, err
+	})
+}
+
+// handler serves callers and operators. A frozen entry instance answers after its freeze, a dead one never.
+func (e *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	api := caller.New(e.runner, e.keeper).Handler()
+	mux.Handle("/v1/queues/", api)
+	mux.Handle("/v1/tasks/", api)
+	mux.Handle("/", admin.New(admin.Options{Self: func() fleet.EntryID { return e.registrar.Self().ID }, Viewer: e.keeper,
+		Editor: e.world.without.editor(e.keeper), Token: adminToken}))
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if e.gate.pass() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		m := message{entry: e, host: callerHost, step: callerStep(r), target: r.Header.Get("Target") != ""}
+		body, err := readBody(r)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		reply, err := exchange(r.Context(), e.world, m, func(ctx context.Context) (*answer, error) {
+			return serve(mux, r, ctx, body), nil
+		})
+		if err != nil || e.gate.pass() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		reply.copyTo(rw)
+	})
+}
+
+func callerStep(r *http.Request) string {
+	switch {
+	case r.Method == http.MethodPost && len(r.URL.Path) > len("/v1/queues/") && r.URL.Path[:11] == "/v1/queues/":
+		return "caller.submit"
+	case r.Method == http.MethodDelete:
+		return "caller.cancel"
+	case r.Method == http.MethodGet:
+		return "caller.poll"
+	}
+	return "operator.edit"
+}
+
+// owners asks other entry instances about tasks.
+type owners struct{ peers *peer.Client }
+
+// Task implements runner.Owners.
+func (o owners) Task(ctx context.Context, address string, q peer.TaskRequest) (peer.TaskReply, error) {
+	return peer.Call(ctx, o.peers, address, peer.MethodTask, q)
+}
+
+func (e *Entry) seeds(ctx context.Context) ([]string, error) {
+	listings, err := e.roster.List(ctx)
+	var addresses []string
+	for _, l := range listings {
+		if l.Kind == roster.Entry && l.State == roster.Live {
+			addresses = append(addresses, l.Address)
+		}
+	}
+	return addresses, err
+}
+
+// removed drops the work of a removed incarnation, as serve/node does.
+func (e *Entry) removed(ctx context.Context, next fleet.EntryID) {
+	e.world.note("%s was removed", e.name)
+	e.runner.Drop()
+	e.runner.AwaitEnd(ctx)
+	e.book.Reset(next)
+	e.restart(ctx, next)
+}
+
+func (e *Entry) restart(ctx context.Context, self fleet.EntryID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.halt != nil {
+		e.halt()
+	}
+	ctx, e.halt = context.WithCancel(ctx)
+	e.coordinator = alloc.NewCoordinator(self, e.keeper, e.workers)
+	e.agent = alloc.NewAgent(self, e.keeper, e.runner, e.coordinator, alloc.PeerPoller{Client: e.peers})
+	go e.coordinator.Run(ctx)
+	go e.agent.Run(ctx)
+}
+
+func (e *Entry) current() (*alloc.Coordinator, *alloc.Agent) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.coordinator, e.agent
+}
+
+func (e *Entry) poll(ctx context.Context, q peer.PollRequest) (peer.PollReply, error) {
+	c, _ := e.current()
+	return c.Poll(ctx, q)
+}
+
+// Poke implements runner.Poker.
+func (e *Entry) Poke(p fleet.PoolName) {
+	_, a := e.current()
+	a.Poke(p)
+}
+
+// Estimates implements runner.Poker.
+func (e *Entry) Estimates(p fleet.PoolName) []peer.Estimate {
+	_, a := e.current()
+	return a.Estimates(p)
+}
+
+// Leaving implements runner.Roster.
+func (e *Entry) Leaving(id fleet.InstanceID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving[id]
+}
+
+// watch follows the roster for workers that are leaving.
+func (e *Entry) watch(ctx context.Context) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		if listings, err := e.roster.List(ctx); err == nil {
+			leaving := map[fleet.InstanceID]bool{}
+			for _, l := range listings {
+				leaving[l.ID] = l.State == roster.Leaving
+			}
+			e.mu.Lock()
+			e.leaving = leaving
+			e.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// leave shuts the entry instance down gracefully, as serve/node does.
+func (e *Entry) leave() {
+	_ = e.runner.Drain(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	_ = e.book.Return(ctx)
+	_ = e.registrar.Leave(ctx)
+	e.stop()
+	e.mu.Lock()
+	e.left = true
+	e.mu.Unlock()
+	e.world.note("%s has left", e.name)
+	e.host.Refuse()
+}
+
+// awaitLeft waits until the entry instance has left, unless it dies before.
+func (e *Entry) awaitLeft() {
+	for !e.hasLeft() && !e.gate.isDead() && !e.world.over() {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (e *Entry) hasLeft() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.left
+}
--- /dev/null
+++ b/internal/lab/matrix/without.go
@@ -0,0 +1,219 @@
+package matrix
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
+	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
+	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
+	"github.com/yuccahaven/yuccahaven/internal/state/claim"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// Mechanism names a safety mechanism that a cell can run without, to show that the checks find what it prevents.
+type Mechanism string
+
+// The safety mechanisms.
+const (
+	Everything        Mechanism = ""
+	ReservationExpiry Mechanism = "reservation expiry"
+	Freshness         Mechanism = "freshness check"
+	ClaimRecord       Mechanism = "claim record"
+	WorkerFence       Mechanism = "worker fence"
+	GrantSettle       Mechanism = "grant settle time"
+	Majority          Mechanism = "majority acknowledgement"
+	Grants            Mechanism = "grants"
+	LeaseWait         Mechanism = "lease wait"
+	HeadCondition     Mechanism = "head condition"
+	BudgetCheck       Mechanism = "budget check"
+)
+
+func (m Mechanism) workers(w runner.Workers) runner.Workers {
+	switch m {
+	case ReservationExpiry:
+		return endlessReservations{w}
+	case WorkerFence:
+		return unfenced{w}
+	case LeaseWait:
+		return impatient{w}
+	}
+	return w
+}
+
+// endlessReservations asks for reservations that don't lapse during a cell.
+type endlessReservations struct{ runner.Workers }
+
+func (w endlessReservations) Reserve(ctx context.Context, address string, r worker.Reservation) error {
+	r.TTL = time.Hour
+	return w.Workers.Reserve(ctx, address, r)
+}
+
+// unfenced takes an id for fenced without telling the worker.
+type unfenced struct{ runner.Workers }
+
+func (unfenced) Stop(_ context.Context, _ string, id fleet.TaskID, _ bool) (worker.Status, error) {
+	return worker.Status{Task: id, State: worker.Fenced}, nil
+}
+
+// impatient takes a silent worker for one that has forgotten its tasks, so that nothing waits for the lease.
+type impatient struct{ runner.Workers }
+
+func (w impatient) Await(ctx context.Context, address string, id fleet.TaskID, wait time.Duration) (worker.Status, error) {
+	s, err := w.Workers.Await(ctx, address, id, wait)
+	if errors.Is(err, worker.ErrSilent) || errors.Is(err, worker.ErrRefused) {
+		err = worker.ErrUnknown
+	}
+	return s, err
+}
+
+func (m Mechanism) views(v runner.Views) runner.Views {
+	if m == Freshness {
+		return alwaysFresh{v}
+	}
+	return v
+}
+
+type alwaysFresh struct{ runner.Views }
+
+func (alwaysFresh) Fresh() error { return nil }
+
+func (m Mechanism) grants(g runner.Grants) runner.Grants {
+	if m == Grants {
+		return unlimited{}
+	}
+	return g
+}
+
+type unlimited struct{}
+
+func (unlimited) Acquire(fleet.TeamName, int) bool { return true }
+func (unlimited) Release(fleet.TeamName, int)      {}
+func (unlimited) Free(fleet.TeamName) int          { return 100 }
+func (unlimited) Want(fleet.TeamName, int)         {}
+
+func (m Mechanism) records(r runner.Records) runner.Records {
+	if m == ClaimRecord {
+		return unrecorded{r}
+	}
+	return r
+}
+
+// unrecorded writes nothing and finds nothing.
+type unrecorded struct{ runner.Records }
+
+func (unrecorded) Claim(_ context.Context, r claim.Record) (claim.Record, error)      { return r, nil }
+func (unrecorded) Replace(_ context.Context, _, r claim.Record) (claim.Record, error) { return r, nil }
+func (unrecorded) Find(context.Context, fleet.TeamName, string) (claim.Record, error) {
+	return claim.Record{}, claim.ErrAbsent
+}
+
+func (m Mechanism) peers(p view.Peers) view.Peers {
+	if m == Majority {
+		return unheard{p}
+	}
+	return p
+}
+
+// unheard sends no pushes and takes them for acknowledged.
+type unheard struct{ view.Peers }
+
+func (unheard) Push(_ context.Context, address string, q peer.PushRequest) (peer.PushReply, error) {
+	a := peer.PushReply{From: fleet.EntryID(address + ".1")}
+	if n := len(q.Deltas); n > 0 {
+		a.Revision = q.Deltas[n-1].Revision
+	}
+	return a, nil
+}
+
+func (m Mechanism) table(e *Entry, t table.Table) table.Table {
+	switch m {
+	case HeadCondition:
+		return unconditional{t}
+	case GrantSettle:
+		return unsettled{t, e}
+	}
+	return t
+}
+
+// unconditional commits whatever head says.
+type unconditional struct{ table.Table }
+
+func (t unconditional) Commit(ctx context.Context, x table.Transaction) (uint64, error) {
+	var kept []table.Condition
+	for _, c := range x.Conditions {
+		if c.Key != view.HeadKey {
+			kept = append(kept, c)
+		}
+	}
+	x.Conditions = kept
+	return t.Table.Commit(ctx, x)
+}
+
+// unsettled hides the grants of removed entry instances, so that they are free at once.
+type unsettled struct {
+	table.Table
+	entry *Entry
+}
+
+func (t unsettled) Get(ctx context.Context, keys ...string) ([]table.Item, error) {
+	items, err := t.Table.Get(ctx, keys...)
+	for n, i := range items {
+		if strings.HasPrefix(i.Key, "grant/") {
+			items[n].Value = t.present(i.Value)
+		}
+	}
+	return items, err
+}
+
+func (t unsettled) present(value []byte) []byte {
+	var r struct {
+		Holdings []map[string]any `json:"holdings"`
+		Turn     int              `json:"turn,omitempty"`
+	}
+	if json.Unmarshal(value, &r) != nil {
+		return value
+	}
+	var kept []map[string]any
+	for _, h := range r.Holdings {
+		id, _ := h["entry"].(string)
+		if _, ok := t.entry.keeper.View().Member(fleet.EntryID(id)); ok {
+			kept = append(kept, h)
+		}
+	}
+	r.Holdings = kept
+	b, err := json.Marshal(r)
+	if err != nil {
+		return value
+	}
+	return b
+}
+
+func (m Mechanism) editor(e admin.Editor) admin.Editor {
+	if m == BudgetCheck {
+		return unbudgeted{e}
+	}
+	return e
+}
+
+// unbudgeted lets operators' changes see a document without budgets.
+type unbudgeted struct{ admin.Editor }
+
+func (u unbudgeted) Edit(ctx context.Context, author string, change func(fleet.View) ([]fleet.Item, error)) (uint64, error) {
+	return u.Editor.Edit(ctx, author, func(v fleet.View) ([]fleet.Item, error) {
+		d := v.Document()
+		pools := map[fleet.PoolName]fleet.PoolSection{}
+		for p, s := range d.Pools {
+			s.Min = 0
+			pools[p] = s
+		}
+		d.Pools = pools
+		return change(v.WithDocument(d))
+	})
+}
