--- a/internal/serve/node/scheduler.go
+++ b/internal/serve/node/scheduler.go
@@ -6,7 +6,6 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/sched/alloc"
-	"github.com/yuccahaven/yuccahaven/internal/sched/ramp"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
@@ -80,26 +79,8 @@
 	var all []admin.ZoneReturn
 	for _, p := range v.PoolNames() {
 		for _, step := range a.Steps(p) {
-			all = append(all, zoneReturn(p, step))
+			all = append(all, admin.ReturnOf(p, step))
 		}
 	}
 	return all
 }
-
-// rampPercent is the share of a zone's slots in use at each step of its return, after step 0.
-var rampPercent = []int{10, 25, 50, 75, 100}
-
-const fullPercent = 100
-
-func zoneReturn(p fleet.PoolName, s peer.ZoneStep) admin.ZoneReturn {
-	z := admin.ZoneReturn{Pool: p, Zone: s.Zone, Generation: s.Generation}
-	switch {
-	case s.Step >= ramp.StepInService:
-		z.State, z.Percent = "in", fullPercent
-	case s.Step >= 1:
-		z.State, z.Percent = "ramping", rampPercent[min(s.Step, len(rampPercent))-1]
-	default:
-		z.State = "settling"
-	}
-	return z
-}
