node: End a shutdown without waiting for unused connections and polls

Cause: http.Server.Shutdown waits more than 5 s for a connection that has not begun a request, and HTTP clients open such connections in advance, more so towards a process that was stopped for a while. A poll of a task that runs at another entry instance was waited for as well, for up to 20 s.

Change: connections that have not begun a request 1 s after the end of acceptance are closed, and polls of tasks elsewhere are answered with the present state once the shutdown begins.

--- a/internal/serve/node/http.go
+++ b/internal/serve/node/http.go
@@ -28,5 +28,5 @@
 	mux.Handle("/", n.admin)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, BaseContext: func(net.Listener) context.Context { return life },
-		ErrorLog: zap.NewStdLog(n.part("http"))}
+		ConnState: n.connections.track, ErrorLog: zap.NewStdLog(n.part("http"))}
 }
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -59,6 +59,8 @@
 	burn      *burn.Recorder
 	admin     *admin.Server
 	stopping  atomic.Bool
+
+	connections connections
 }
 
 // New listens on the addresses of checked settings and assembles the parts; Run must be called next.
--- a/internal/serve/node/stop.go
+++ b/internal/serve/node/stop.go
@@ -27,7 +27,7 @@
 	n.log.Info("node: work finished")
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	if err := s.Shutdown(ctx); err != nil {
+	if err := n.connections.shutDown(ctx, s); err != nil {
 		n.log.Warn("node: answers not finished", zap.Error(err))
 	}
 	n.log.Info("node: answers written")
--- a/internal/serve/runner/drain.go
+++ b/internal/serve/runner/drain.go
@@ -35,11 +35,27 @@
 	}
 }
 
+// untilDrain returns a context that ends with a given one and when a shutdown begins.
+func (r *Runner) untilDrain(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-r.drainBegun:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // beginDrain returns a channel that is closed when the last task has ended, nil if there is none.
 func (r *Runner) beginDrain() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stopping = true
+	if !r.stopping {
+		r.stopping = true
+		close(r.drainBegun)
+	}
 	if len(r.tasks) == 0 {
 		return nil
 	}
--- a/internal/serve/runner/remote.go
+++ b/internal/serve/runner/remote.go
@@ -20,18 +20,22 @@
 const lookInterval = time.Second
 
 // Get returns what is known of a team's task, and waits up to the given time for its end. It works at any entry
-// instance: the owner is asked, else the record tells.
+// instance: the owner is asked, else the record tells. During a shutdown it waits only for tasks that run here, since
+// the caller can ask for the others elsewhere.
 func (r *Runner) Get(ctx context.Context, team fleet.TeamName, id string, wait time.Duration) (Progress, error) {
-	for end := time.Now().Add(wait); ; pause(ctx, min(lookInterval, time.Until(end))) {
-		p, err := r.look(ctx, team, id, max(0, time.Until(end)))
-		if err != nil || p.Phase == PhaseDone || p.Phase == PhaseRejected || !time.Now().Before(end) || ctx.Err() != nil {
+	waiting, cancel := r.untilDrain(ctx)
+	defer cancel()
+	for end := time.Now().Add(wait); ; pause(waiting, min(lookInterval, time.Until(end))) {
+		p, err := r.look(ctx, waiting, team, id, max(0, time.Until(end)))
+		if err != nil || p.Phase == PhaseDone || p.Phase == PhaseRejected || !time.Now().Before(end) || waiting.Err() != nil {
 			return p, err
 		}
 	}
 }
 
-// look returns what is known of a task now, or after the wait if it runs here or its owner answers.
-func (r *Runner) look(ctx context.Context, team fleet.TeamName, id string, wait time.Duration) (Progress, error) {
+// look returns what is known of a task now, or after the wait if it runs here or its owner answers. The context
+// waiting bounds the wait for the owner.
+func (r *Runner) look(ctx, waiting context.Context, team fleet.TeamName, id string, wait time.Duration) (Progress, error) {
 	if t, ok := r.find(team, id); ok {
 		return t.waitProgress(ctx, wait), nil
 	}
@@ -50,7 +54,7 @@
 		e := reject.New(reject.Kind(c.Kind), reject.Work(c.Work), "%s", c.Detail)
 		return Progress{ID: id, Phase: PhaseRejected, Rejection: e}, nil
 	}
-	return r.askOwner(ctx, c, wait), nil
+	return r.askOwner(waiting, c, wait), nil
 }
 
 func (r *Runner) findRecord(ctx context.Context, team fleet.TeamName, id string) (claim.Record, error) {
--- a/internal/serve/runner/runner.go
+++ b/internal/serve/runner/runner.go
@@ -53,6 +53,8 @@
 	stale     time.Time // since when the view has been stale; zero while it is fresh
 	stopping  bool
 	idle      chan struct{}
+	// drainBegun is closed when a shutdown begins.
+	drainBegun chan struct{}
 }
 
 // taskKey identifies a task together with its team, so that no team reaches another team's task.
@@ -79,6 +81,8 @@
 		tasks:    map[taskKey]*task{},
 		attempts: map[fleet.TaskID]*attempt{},
 		outcomes: map[fleet.PoolName][]peer.Outcome{},
+
+		drainBegun: make(chan struct{}),
 	}
 }
 
--- a/internal/serve/runner/script_test.go
+++ b/internal/serve/runner/script_test.go
@@ -122,7 +122,12 @@
 	case "used":
 		return fmt.Sprintf("used %d\n", e.held-e.Free(""))
 	case "poll":
-		w.poll(e, arg("id", ""), arg("team", "blue"), arg("wait", "0s"))
+		poll := func() { w.poll(e, arg("id", ""), arg("team", "blue"), arg("wait", "0s")) }
+		if d.HasArg("background") {
+			go poll()
+		} else {
+			poll()
+		}
 	case "reads":
 		defer func() { w.reads = 0 }()
 		return fmt.Sprintf("%d reads\n", w.reads)
