runner: Evacuate only under the departure that the view shows

Cause: whether a task must leave an availability zone was decided by the departure noted every 500 ms alone. A task started after the zone's return was stopped, up to several times, until the next note.

Change: the zone must also be out in the current view, and at the generation that was noted.

--- a/internal/serve/runner/zone.go
+++ b/internal/serve/runner/zone.go
@@ -41,16 +41,17 @@
 	}
 }
 
-// isOver reports whether the grace of a zone that is out of service has passed.
-func (c *zoneClock) isOver(z fleet.AvailabilityZone, now time.Time) bool {
+// isOver reports whether the grace of a zone has passed since the departure that the view shows. The departures are
+// noted now and then, so the one noted may belong to a zone that has returned or left again meanwhile.
+func (c *zoneClock) isOver(z fleet.AvailabilityZone, present fleet.ZoneStatus, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d, ok := c.out[z]
-	return ok && now.Sub(d.seen) >= d.grace
+	return ok && present.State == fleet.ZoneOut && present.Generation == d.generation && now.Sub(d.seen) >= d.grace
 }
 
 // mustEvacuate reports whether a running task is to be stopped and continued elsewhere. Non-idempotent tasks finish
 // where they are.
 func (r *Runner) mustEvacuate(a *attempt) bool {
-	return !a.task.job.Once && r.zones.isOver(a.zone, time.Now())
+	return !a.task.job.Once && r.zones.isOver(a.zone, r.parts.Views.View().Zone(a.zone), time.Now())
 }
