node: Run the planner of spare instances

Cause: plan/spare was tested but not connected, so no spare instance moved.

Change: the entry instance that leads the fleet's duties runs the planner. Every entry instance reports its demand by pool: the slots of running tasks, and of waiting ones within its free ceiling grants, because more workers would not start the rest.

--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/plan/upkeep"
 	"github.com/yuccahaven/yuccahaven/internal/plat/object"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
@@ -56,6 +57,7 @@
 	reach     *reach
 	upkeep    *upkeep.Planner
 	follower  *upkeep.Follower
+	spares    *spare.Planner
 	burn      *burn.Recorder
 	admin     *admin.Server
 	stopping  atomic.Bool
@@ -126,6 +128,8 @@
 		Leads: func() bool { return n.leads(fleetDuty) }, Failed: n.reach.failed, Log: n.part("upkeep")})
 	n.burn = burn.NewRecorder()
 	n.admin = n.operators()
+	n.spares = spare.New(spare.Options{Keeper: n.keeper, Loads: n.admin.Loads,
+		Leads: func() bool { return n.leads(fleetDuty) }, Failed: n.reach.failed, Policy: s.spares, Log: n.part("spare")})
 }
 
 // fleetDuty is the name by which the entry instance is chosen for duties that concern no single pool. No pool has
@@ -231,7 +235,7 @@
 func (n *Node) start(ctx context.Context, parts *sync.WaitGroup) {
 	n.scheduler.restart(ctx, n.registrar.Self().ID)
 	for _, run := range []func(context.Context){n.keeper.Run, n.registrar.Run, n.book.Run, n.ledger.Run, n.runner.Run,
-		n.watch.run, n.reach.run, n.upkeep.Run, n.follower.Run, n.sweepRecords, n.servePeers} {
+		n.watch.run, n.reach.run, n.upkeep.Run, n.follower.Run, n.spares.Run, n.sweepRecords, n.servePeers} {
 		parts.Go(func() { run(ctx) })
 	}
 }
--- a/internal/serve/node/operators.go
+++ b/internal/serve/node/operators.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
 	"github.com/yuccahaven/yuccahaven/internal/serve/caller"
@@ -69,6 +70,9 @@
 	for _, z := range slices.Sorted(maps.Keys(load.Zones)) {
 		s.Zones = append(s.Zones, admin.ZoneLoad{Zone: z, Running: load.Zones[z]})
 	}
+	for _, p := range slices.Sorted(maps.Keys(load.Pools)) {
+		s.Pools = append(s.Pools, spare.Load{Pool: p, Running: load.Pools[p].Running, Waiting: load.Pools[p].Waiting})
+	}
 	s.Steps = n.scheduler.returns(v)
 	return s
 }
--- a/internal/serve/node/settings.go
+++ b/internal/serve/node/settings.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 )
 
 // Settings are the settings of one entry instance. All values are texts until Check has accepted them, so that every
@@ -27,11 +28,14 @@
 	PeerCertificate, PeerKey   string
 	PeerAuthority              string
 	BodyTimeout, BalancerPause string
+	SpareSmooth, SpareHold     string
+	SpareRelease, SparePace    string
 	LogLevel                   string
 
 	places      map[*string]*place
 	bodyTimeout time.Duration
 	pause       time.Duration
+	spares      spare.Policy
 	level       zapcore.Level
 }
 
@@ -73,6 +77,10 @@
 	s.flag(c, &s.PeerAuthority, "peer-ca", "", "file of the authority that signs the entry instances' certificates")
 	s.flag(c, &s.BodyTimeout, "body-timeout", "30s", "time in which a caller must send its request body")
 	s.flag(c, &s.BalancerPause, "balancer-pause", "2s", "time between the end of readiness and the end of acceptance at shutdown")
+	s.flag(c, &s.SpareSmooth, "spare-smooth", spare.Default.Smooth.String(), "time over which the demand for a pool is averaged before spare instances move")
+	s.flag(c, &s.SpareHold, "spare-hold", spare.Default.Hold.String(), "time of high demand after which a pool gets spare instances")
+	s.flag(c, &s.SpareRelease, "spare-release", spare.Default.Release.String(), "time of low demand after which a lent instance returns")
+	s.flag(c, &s.SparePace, "spare-pace", spare.Default.Pace.String(), "time between the returns of two instances of a pool")
 	s.flag(c, &s.LogLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
 }
 
@@ -183,7 +191,27 @@
 	if s.pause, err = time.ParseDuration(s.BalancerPause); err != nil || s.pause < 0 {
 		add(&s.BalancerPause, "%q is not a duration", s.BalancerPause)
 	}
+	s.checkSpares(add)
 	if s.level, err = zapcore.ParseLevel(s.LogLevel); err != nil {
 		add(&s.LogLevel, "%q is not a level", s.LogLevel)
 	}
 }
+
+// checkSpares takes an empty value as the default, for settings that are not given as flags.
+func (s *Settings) checkSpares(add adder) {
+	s.spares = spare.Default
+	for _, x := range []struct {
+		text  *string
+		value *time.Duration
+	}{{&s.SpareSmooth, &s.spares.Smooth}, {&s.SpareHold, &s.spares.Hold}, {&s.SpareRelease, &s.spares.Release},
+		{&s.SparePace, &s.spares.Pace}} {
+		if *x.text == "" {
+			continue
+		}
+		d, err := time.ParseDuration(*x.text)
+		if err != nil || d < 0 {
+			add(x.text, "%q is not a duration", *x.text)
+		}
+		*x.value = d
+	}
+}
--- a/internal/serve/runner/load.go
+++ b/internal/serve/runner/load.go
@@ -13,18 +13,37 @@
 	Running map[fleet.TeamName]int
 	// Zones counts started tasks by the availability zone of their workers.
 	Zones map[fleet.AvailabilityZone]int
+	// Pools is the demand by pool.
+	Pools map[fleet.PoolName]Demand
+}
+
+// Demand is the use of a pool in slots. Waiting leaves out work beyond the free ceiling grants, since more workers
+// would not start it.
+type Demand struct {
+	Running, Waiting int
 }
 
 // Load returns the present work. Slots count as running from the permit on, since they hold a ceiling unit.
 func (r *Runner) Load() Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := Load{Waiting: maps.Clone(r.waiting), Running: map[fleet.TeamName]int{}, Zones: map[fleet.AvailabilityZone]int{}}
+	l := Load{Waiting: maps.Clone(r.waiting), Running: map[fleet.TeamName]int{}, Zones: map[fleet.AvailabilityZone]int{},
+		Pools: map[fleet.PoolName]Demand{}}
+	for name, p := range r.pools {
+		for _, d := range p.queue.Demand(r.parts.Grants.Free) {
+			l.Pools[name] = l.Pools[name].plus(0, min(d.Waiting, d.Usable))
+		}
+	}
 	for _, a := range r.attempts {
 		l.Running[a.task.team] += a.slots
+		l.Pools[a.pool] = l.Pools[a.pool].plus(a.slots, 0)
 		if z, started := a.startedIn(); started {
 			l.Zones[z]++
 		}
 	}
 	return l
 }
+
+func (d Demand) plus(running, waiting int) Demand {
+	return Demand{Running: d.Running + running, Waiting: d.Waiting + waiting}
+}
--- a/internal/serve/runner/script_test.go
+++ b/internal/serve/runner/script_test.go
@@ -119,6 +119,9 @@
 		e.Permit(w.permit("main", "blue"))
 	case "kill":
 		w.kill(e)
+	case "load":
+		l := e.Load().Pools["main"]
+		return fmt.Sprintf("running %d, waiting %d\n", l.Running, l.Waiting)
 	case "used":
 		return fmt.Sprintf("used %d\n", e.held-e.Free(""))
 	case "poll":
