node: Count members that have certainly ended as acknowledging

Cause: after the loss of a majority of the members at once no edit was ever confirmed, and no member could be removed or registered, because the registrar's test for ended processes was not connected to the view.

Change: a member that was silent and not on the roster for 60 s, with the roster read successfully meanwhile, counts as having acknowledged. A script removes four of six members: an edit is unconfirmed after 5 s and 50 s and accepted after 70 s, and a new entry registers.

--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -110,7 +110,8 @@
 	t, o, l, w := table.NewClient(s.Table), object.NewClient(s.Object), roster.NewClient(s.Roster), worker.NewClient()
 	n.peers = peer.NewClient(s.PeerToken, n.peerOptions()...)
 	self := member.NewID(s.Name)
-	n.keeper = view.New(self, t, n.peers, decode, view.WithLog(n.part("view")), view.WithSeeds(n.seeds(l)))
+	n.keeper = view.New(self, t, n.peers, decode, view.WithLog(n.part("view")), view.WithSeeds(n.seeds(l)),
+		view.WithGone(func(id fleet.EntryID) bool { return n.registrar.Gone(id) }))
 	n.registrar = member.New(s.Name, n.member(self), n.keeper, l, member.WithLog(n.part("member")),
 		member.WithRemoved(n.removed))
 	n.book = grant.New(self, n.keeper, t, n.peers, grant.WithLog(n.part("grant")), grant.WithMetrics(n.registry))
--- a/internal/state/member/member_test.go
+++ b/internal/state/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,6 +16,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 	"github.com/yuccahaven/yuccahaven/internal/state/member"
 	"github.com/yuccahaven/yuccahaven/internal/state/view"
@@ -130,6 +132,8 @@
 				d.Fatalf(c.t, "%v", err)
 			}
 			time.Sleep(w)
+		case "edit":
+			return c.edit(c.entries[name])
 		case "show":
 			return c.show(c.entries[name])
 		default:
@@ -139,6 +143,21 @@
 	return ""
 }
 
+// edit changes a section and tells whether the edit is in force.
+func (c *cluster) edit(e *entry) string {
+	_, err := e.keeper.Edit(c.t.Context(), "test", func(fleet.View) ([]fleet.Item, error) {
+		return []fleet.Item{view.SectionItem(fleet.Section{Name: "team/x", Text: "1"})}, nil
+	})
+	var r *reject.Error
+	switch {
+	case errors.As(err, &r):
+		return string(r.Kind)
+	case err != nil:
+		return err.Error()
+	}
+	return "accepted"
+}
+
 // show lists the members by name as an entry sees them, and who dropped work because it was removed.
 func (c *cluster) show(e *entry) string {
 	var members, dropped []string
