runner: Run an adopted task again only after its earlier lease has lapsed

Cause: the comment claimed that the lease of the earlier attempt lapses during the inquiry, which took 4 s while a lease certainly lapses after 12.5 s. The ceiling was not in danger, because the former owner's grant counts until its settle time, but the work could be done twice at once.

Change: only asynchronous idempotent tasks get there, and nobody waits for their answers, so their worker is asked for 14.5 s: 2 s until the removed owner's view is stale, and the lapse. Non-idempotent requests are still told "unknown" after 4 s.

--- a/internal/serve/runner/record.go
+++ b/internal/serve/runner/record.go
@@ -20,6 +20,10 @@
 // inquiryTime is how long the worker of an earlier attempt is asked before a retry is told that the work is unknown.
 const inquiryTime = 4 * time.Second
 
+// orphanLapse is when the lease of an attempt whose owner was removed has certainly lapsed, from the moment the removal
+// was seen. The former owner renews nothing once its view is stale, at most 2 s after the removal was accepted.
+const orphanLapse = 2*time.Second + lapse
+
 // Records keeps the records of tasks in the store; see the ledger of state/claim.
 type Records interface {
 	Claim(ctx context.Context, r claim.Record) (claim.Record, error)
@@ -149,10 +153,16 @@
 
 // inquire asks the worker named by a record about its attempt. Until the worker answers nothing is started. If the
 // attempt has not started, its owner may be about to start it, so it is fenced only after its reservation has lapsed.
+// Nobody waits for the answer of an adopted task, which may run again: its worker is asked until the lease has lapsed,
+// so that the work is not done twice at the same time.
 func (r *Runner) inquire(t *task, c claim.Record) state {
 	a := &attempt{task: t, id: attemptID(c.ID, c.Attempt), pool: t.pool, instance: c.Worker, slots: t.job.Slots,
 		address: c.Address, boot: c.Boot, before: t.knownWork(), began: time.Now()}
-	for time.Since(a.began) < inquiryTime {
+	limit := inquiryTime
+	if t.isRepeatable() {
+		limit = orphanLapse
+	}
+	for time.Since(a.began) < limit {
 		st, err := r.ask(t.life, a, 0)
 		switch {
 		case t.hasQuit():
@@ -229,8 +239,8 @@
 	return waiting{}
 }
 
-// unreachable answers a retry whose worker is silent. An idempotent task may run again elsewhere, once the lease of
-// the earlier attempt, which nobody renews, has lapsed during the inquiry.
+// unreachable answers a retry whose worker is silent. An idempotent task runs again elsewhere: the lease of the
+// earlier attempt, which nobody renews, has lapsed during the inquiry.
 func (r *Runner) unreachable(t *task) state {
 	if t.isRepeatable() {
 		return waiting{}
