admit: Bound the request bodies held in memory

Cause: only the length of a queue and the size of one body were bounded, so 1000 waiting tasks of 8 MB could exhaust an entry instance's memory.

Change: bodies count from before they are read until their request ends; those of tasks that outlive their requests (asynchronous and keyed ones) count a second time until the task ends, which keeps the rule simple at the cost of some room. A body of unknown length counts as the largest allowed. An orphaned task that finds no room is looked at again.

The scripts' coordinator read its hold flag without the lock, which the race detector reported; it takes the lock now.

--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
 )
 
@@ -62,6 +63,7 @@
 	registry    metrics.Registry
 	observer    Observer
 	bodyTimeout time.Duration
+	memory      *admit.Memory
 }
 
 // Option changes an API.
@@ -79,6 +81,9 @@
 // WithBodyTimeout sets how long a caller may take to send a body; the default is 30 s.
 func WithBodyTimeout(d time.Duration) Option { return func(a *API) { a.bodyTimeout = d } }
 
+// WithMemory sets the bound on the request bodies held in memory; the default is admit.DefaultMemory.
+func WithMemory(m *admit.Memory) Option { return func(a *API) { a.memory = m } }
+
 type ignoreObservations struct{}
 
 func (ignoreObservations) Observe(Observation) {}
@@ -86,7 +91,8 @@
 // New returns the HTTP interface for callers.
 func New(t Tasks, v Views, options ...Option) *API {
 	a := &API{tasks: t, views: v, keys: &keyring{}, log: zap.NewNop(), registry: metrics.NewRegistry(),
-		observer: ignoreObservations{}, bodyTimeout: defaultBodyTimeout}
+		observer: ignoreObservations{}, bodyTimeout: defaultBodyTimeout,
+		memory: admit.NewMemory(admit.DefaultMemory)}
 	for _, o := range options {
 		o(a)
 	}
--- a/internal/serve/caller/caller_test.go
+++ b/internal/serve/caller/caller_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/serve/caller"
 	"github.com/yuccahaven/yuccahaven/internal/serve/runner"
 )
@@ -197,3 +198,47 @@
 		t.Fatalf("status %d: %s", p.StatusCode, b)
 	}
 }
+
+// Guards against request bodies that use memory without bound, and against a count that outlives its request.
+func TestMemory(t *testing.T) {
+	tasks := &fakeTasks{began: make(chan struct{}), gone: make(chan error)}
+	s := httptest.NewServer(caller.New(tasks, newViews(), caller.WithMemory(admit.NewMemory(15))).Handler())
+	defer s.Close()
+	submit := func(ctx context.Context, key string) (*http.Response, error) {
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/v1/queues/open/tasks", strings.NewReader("0123456789"))
+		if err != nil {
+			return nil, err
+		}
+		q.Header.Set("Idempotency-Key", key)
+		return http.DefaultClient.Do(q)
+	}
+	status := func() (int, string) {
+		p, err := submit(context.Background(), "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = p.Body.Close() }()
+		b, _ := io.ReadAll(p.Body)
+		return p.StatusCode, p.Header.Get("Retry-After") + " " + string(b)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		if p, err := submit(ctx, "wait"); err == nil {
+			_ = p.Body.Close()
+		}
+	}()
+	<-tasks.began
+	if code, text := status(); code != http.StatusTooManyRequests || !strings.HasPrefix(text, "1 ") ||
+		!strings.Contains(text, `"kind":"full","work":"not-run"`) {
+		t.Errorf("status %d: %s", code, text)
+	}
+	cancel()
+	if err := <-tasks.gone; !errors.Is(err, context.Canceled) {
+		t.Errorf("context ended with %v", err)
+	}
+	for code, text := status(); code != http.StatusOK; code, text = status() {
+		if code != http.StatusTooManyRequests {
+			t.Fatalf("status %d: %s", code, text)
+		}
+	}
+}
--- a/internal/serve/caller/submit.go
+++ b/internal/serve/caller/submit.go
@@ -50,7 +50,20 @@
 		return err
 	}
 	j.Team = team
-	if j.Input, err = a.readBody(w, q, v); err != nil {
+	limit := bodyLimit(v)
+	if q.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	// A body of unknown length may become as large as the limit.
+	size := q.ContentLength
+	if size < 0 {
+		size = limit
+	}
+	if err := a.memory.Hold(size); err != nil {
+		return err
+	}
+	defer a.memory.Free(size)
+	if j.Input, err = a.readBody(w, q, limit); err != nil {
 		return err
 	}
 	if team != "" && wantsAsync(q) {
@@ -100,16 +113,17 @@
 	return queue, team, nil
 }
 
-// readBody reads the whole body within the document's limit and the body timeout. The read deadline is removed
-// afterwards, because the server watches the connection for the caller's departure.
-func (a *API) readBody(w http.ResponseWriter, q *http.Request, v fleet.View) ([]byte, error) {
-	limit := v.Document().Limits.Body
-	if limit <= 0 {
-		limit = defaultBody
-	}
-	if q.ContentLength > limit {
-		return nil, tooLarge(limit)
+// bodyLimit returns the size of the largest body that the document allows.
+func bodyLimit(v fleet.View) int64 {
+	if limit := v.Document().Limits.Body; limit > 0 {
+		return limit
 	}
+	return defaultBody
+}
+
+// readBody reads the whole body within the limit and the body timeout. The read deadline is removed
+// afterwards, because the server watches the connection for the caller's departure.
+func (a *API) readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, error) {
 	c := http.NewResponseController(w)
 	// Writers of tests don't support deadlines.
 	_ = c.SetReadDeadline(time.Now().Add(a.bodyTimeout))
--- a/internal/serve/node/http.go
+++ b/internal/serve/node/http.go
@@ -22,7 +22,8 @@
 func (n *Node) server(life context.Context) *http.Server {
 	mux := http.NewServeMux()
 	api := caller.New(n.runner, n.keeper, caller.WithLog(n.part("caller")), caller.WithRegistry(n.registry),
-		caller.WithBodyTimeout(n.settings.bodyTimeout), caller.WithObserver(observer{n.burn, n.keeper})).Handler()
+		caller.WithBodyTimeout(n.settings.bodyTimeout), caller.WithObserver(observer{n.burn, n.keeper}),
+		caller.WithMemory(n.memory)).Handler()
 	mux.Handle("/v1/queues/", api)
 	mux.Handle("/v1/tasks/", api)
 	mux.Handle("/", n.admin)
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/sched/alloc"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
@@ -51,6 +52,7 @@
 	registrar *member.Registrar
 	book      *grant.Book
 	ledger    *claim.Ledger
+	memory    *admit.Memory
 	runner    *runner.Runner
 	scheduler *scheduler
 	watch     *watch
@@ -117,10 +119,12 @@
 	n.book = grant.New(self, n.keeper, t, n.peers, grant.WithLog(n.part("grant")), grant.WithMetrics(n.registry))
 	n.ledger = claim.New(func() fleet.EntryID { return n.registrar.Self().ID }, t, o, claim.WithLog(n.part("claim")),
 		claim.WithMetrics(n.registry))
+	n.memory = admit.NewMemory(s.bodyMemory)
 	n.watch = &watch{roster: l, log: n.part("roster")}
 	n.reach = &reach{views: n.keeper, prober: w, leads: n.leads}
 	n.runner = runner.New(runner.Parts{Views: n.keeper, Workers: w, Grants: n.book, Records: n.ledger, Objects: o,
-		Members: n.registrar, Roster: n.watch, Owners: owners{n.peers}, Log: n.part("runner"), Metrics: n.registry})
+		Members: n.registrar, Roster: n.watch, Owners: owners{n.peers}, Log: n.part("runner"), Metrics: n.registry,
+		Memory: n.memory})
 	n.scheduler = &scheduler{views: n.keeper, prober: w, source: n.runner, peers: n.peers}
 	n.runner.Attach(n.scheduler)
 	n.upkeep = upkeep.New(upkeep.Options{Keeper: n.keeper, Prober: w, Platform: l, Leads: n.leads, Failed: n.reach.failed,
--- a/internal/serve/node/settings.go
+++ b/internal/serve/node/settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 )
 
 // Settings are the settings of one entry instance. All values are texts until Check has accepted them, so that every
@@ -30,10 +32,12 @@
 	BodyTimeout, BalancerPause string
 	SpareSmooth, SpareHold     string
 	SpareRelease, SparePace    string
+	BodyMemory                 string
 	LogLevel                   string
 
 	places      map[*string]*place
 	bodyTimeout time.Duration
+	bodyMemory  int64
 	pause       time.Duration
 	spares      spare.Policy
 	level       zapcore.Level
@@ -76,6 +80,7 @@
 	s.flag(c, &s.PeerKey, "peer-cert-key", "", "file of the key of --peer-cert")
 	s.flag(c, &s.PeerAuthority, "peer-ca", "", "file of the authority that signs the entry instances' certificates")
 	s.flag(c, &s.BodyTimeout, "body-timeout", "30s", "time in which a caller must send its request body")
+	s.flag(c, &s.BodyMemory, "body-memory", strconv.Itoa(admit.DefaultMemory), "bytes of request bodies held in memory; further requests are refused as full")
 	s.flag(c, &s.BalancerPause, "balancer-pause", "2s", "time between the end of readiness and the end of acceptance at shutdown")
 	s.flag(c, &s.SpareSmooth, "spare-smooth", spare.Default.Smooth.String(), "time over which the demand for a pool is averaged before spare instances move")
 	s.flag(c, &s.SpareHold, "spare-hold", spare.Default.Hold.String(), "time of high demand after which a pool gets spare instances")
@@ -192,6 +197,12 @@
 		add(&s.BalancerPause, "%q is not a duration", s.BalancerPause)
 	}
 	s.checkSpares(add)
+	s.bodyMemory = admit.DefaultMemory
+	if s.BodyMemory != "" {
+		if s.bodyMemory, err = strconv.ParseInt(s.BodyMemory, 10, 64); err != nil || s.bodyMemory <= 0 {
+			add(&s.BodyMemory, "%q is not a number of bytes above 0", s.BodyMemory)
+		}
+	}
 	if s.level, err = zapcore.ParseLevel(s.LogLevel); err != nil {
 		add(&s.LogLevel, "%q is not a level", s.LogLevel)
 	}
--- a/internal/serve/runner/adopt.go
+++ b/internal/serve/runner/adopt.go
@@ -100,10 +100,17 @@
 			return
 		}
 	}
+	if err := r.parts.Memory.Hold(int64(len(input))); err != nil {
+		// A task whose record names this instance already is adopted by nobody else.
+		r.lookAgain(unsettled{taskKey{c.Team, c.ID}, time.Now()})
+		return
+	}
+	free := func() { r.parts.Memory.Free(int64(len(input))) }
 	next := c
 	next.Owner = r.parts.Members.Self().ID
 	written, err := r.parts.Records.Replace(ctx, c, next)
 	if err != nil {
+		free()
 		r.log.Info("orphaned task not adopted", idField(c.ID), errField(err))
 		if isUnsettled(err) {
 			r.lookAgain(unsettled{taskKey{c.Team, c.ID}, time.Now()})
@@ -111,7 +118,9 @@
 		return
 	}
 	t := r.revive(v, written, input)
+	t.held = true
 	if r.register(t) != nil {
+		free()
 		return
 	}
 	r.stats.adopted.Inc(1)
--- a/internal/serve/runner/runner.go
+++ b/internal/serve/runner/runner.go
@@ -26,7 +26,9 @@
 	Members Members
 	Roster  Roster
 	Owners  Owners
-	Log     *zap.Logger
+	// Memory bounds the inputs of tasks that outlive their requests; nil means admit.DefaultMemory.
+	Memory *admit.Memory
+	Log    *zap.Logger
 	// Metrics is where the Runner's counters are registered; nil keeps them to itself.
 	Metrics metrics.Registry
 }
@@ -68,6 +70,9 @@
 	if p.Log == nil {
 		p.Log = zap.NewNop()
 	}
+	if p.Memory == nil {
+		p.Memory = admit.NewMemory(admit.DefaultMemory)
+	}
 	return &Runner{
 		parts:    p,
 		log:      p.Log,
--- a/internal/serve/runner/script_test.go
+++ b/internal/serve/runner/script_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/state/claim"
 )
 
@@ -61,7 +62,8 @@
 func (w *world) addEntry(id fleet.EntryID, units int) {
 	e := &entryRunner{w: w, id: id, held: units}
 	workers := &fakeWorkers{mu: w.workers.mu, cut: &e.cut, nodes: w.workers.nodes, journal: w.log}
-	e.Runner = New(Parts{Views: w, Workers: workers, Grants: e, Records: w, Objects: w, Members: e, Roster: w, Owners: w})
+	e.Runner = New(Parts{Views: w, Workers: workers, Grants: e, Records: w, Objects: w, Members: e, Roster: w, Owners: w,
+		Memory: w.memory})
 	e.Attach(e)
 	w.members[id] = true
 	w.runners[string(id)] = e
@@ -226,6 +228,9 @@
 			ms := w.view.Pool("main")
 			ms[0].State = fleet.InstanceDraining
 			w.view = w.view.WithPool("main", ms)
+		case "memory":
+			n, _ := strconv.ParseInt(a.Vals[0], 10, 64)
+			w.memory = admit.NewMemory(n)
 		case "units":
 			for _, e := range w.runners {
 				e.mu.Lock()
--- a/internal/serve/runner/submit.go
+++ b/internal/serve/runner/submit.go
@@ -55,6 +55,9 @@
 	case r.stopping:
 		return nil, errStopping()
 	}
+	if err := r.holdInput(t); err != nil {
+		return nil, err
+	}
 	r.tasks[taskKey{t.team, t.id}] = t
 	return t, nil
 }
@@ -212,10 +215,25 @@
 	if r.stopping {
 		return errStopping()
 	}
+	if err := r.holdInput(t); err != nil {
+		return err
+	}
 	r.tasks[taskKey{t.team, t.id}] = t
 	return nil
 }
 
+// holdInput counts the input of a task that outlives its request. The others are counted by their requests.
+func (r *Runner) holdInput(t *task) error {
+	if !t.recorded || t.held {
+		return nil
+	}
+	if err := r.parts.Memory.Hold(int64(len(t.job.Input))); err != nil {
+		return err
+	}
+	t.held = true
+	return nil
+}
+
 // forget removes a task whose last attempt has ended.
 func (r *Runner) forget(t *task) {
 	t.quit()
@@ -224,6 +242,10 @@
 	if r.tasks[taskKey{t.team, t.id}] == t {
 		delete(r.tasks, taskKey{t.team, t.id})
 	}
+	if t.held {
+		t.held = false
+		r.parts.Memory.Free(int64(len(t.job.Input)))
+	}
 	if r.stopping && len(r.tasks) == 0 && r.idle != nil {
 		close(r.idle)
 		r.idle = nil
--- a/internal/serve/runner/task.go
+++ b/internal/serve/runner/task.go
@@ -24,8 +24,10 @@
 	// recorded tasks have a record in the store, which names every attempt before its start.
 	recorded bool
 	async    bool
-	digest   string // of the input, where a record is kept
-	timer    *time.Timer
+	// held says that the input is counted in the memory for request bodies.
+	held   bool
+	digest string // of the input, where a record is kept
+	timer  *time.Timer
 
 	limit   int           // of the waiting tasks of the queue
 	granted chan *attempt // an attempt that holds permits and a ceiling unit
--- a/internal/serve/runner/world_test.go
+++ b/internal/serve/runner/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/plat/object"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/state/claim"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
@@ -35,6 +36,7 @@
 	lines   []string
 	hold    bool // no permits
 	next    int
+	memory  *admit.Memory    // of entry instances added from now on
 	pick    fleet.InstanceID // the worker that permits name
 }
 
@@ -165,7 +167,7 @@
 func (e *entryRunner) Poke(p fleet.PoolName) { time.AfterFunc(time.Millisecond, func() { e.poll(p) }) }
 
 func (e *entryRunner) poll(p fleet.PoolName) {
-	if e.w.hold {
+	if e.w.isHeld() {
 		return
 	}
 	e.polling.Lock()
@@ -182,6 +184,12 @@
 	}
 }
 
+func (w *world) isHeld() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hold
+}
+
 func (w *world) permit(p fleet.PoolName, t fleet.TeamName) peer.Permit {
 	w.mu.Lock()
 	defer w.mu.Unlock()
