runner: Prefer another worker for a retry than the one that failed it

Cause: a worker that fails its tasks at once has the most free slots, so the coordinator permitted the retry there again.

An exclusion in the protocol was ruled out for now, as the coordinator's picker has no exclusion per task.

--- a/internal/serve/runner/reserve.go
+++ b/internal/serve/runner/reserve.go
@@ -39,7 +39,11 @@
 // worker's own clock.
 func (r *Runner) reserve(a *attempt) state {
 	t := a.task
-	m, ok := r.parts.Views.View().PoolMember(t.pool, a.instance)
+	v := r.parts.Views.View()
+	m, ok := v.PoolMember(t.pool, a.instance)
+	if ok && r.declines(a, v) {
+		return r.decline(a)
+	}
 	if !ok || !time.Now().Before(a.expires) || t.hasQuit() {
 		r.finish(a, "", 0)
 		return waiting{}
--- a/internal/serve/runner/start.go
+++ b/internal/serve/runner/start.go
@@ -181,5 +181,5 @@
 		r.rejectAs(t, reject.KindLost, reject.WorkUnknown, time.Second, detail)
 		return finished{}
 	}
-	return r.retry(t, reject.KindLost, detail)
+	return r.retry(a, reject.KindLost, detail)
 }
--- a/internal/serve/runner/task.go
+++ b/internal/serve/runner/task.go
@@ -51,6 +51,9 @@
 	number     int
 	starts     int
 	checkpoint []byte
+	// failedAt is the worker of the attempt that failed last, declined the number of its permits given back since.
+	failedAt fleet.InstanceID
+	declined int
 }
 
 // resolve sets the final answer; only the first one counts.
