node: Report stored sections that don't decode

Cause: the view's decoder dropped all findings, because a section decoded alone always has findings about the rest of the document. A section that did not decode was left out without a trace.

Change: spec.DecodeSection decodes one section without findings about references.

--- a/internal/model/spec/spec.go
+++ b/internal/model/spec/spec.go
@@ -35,6 +35,14 @@
 	return d.finish()
 }
 
+// DecodeSection decodes one section apart from the rest of the document. Findings about references to other sections
+// are left out.
+func DecodeSection(s fleet.Section) (fleet.Document, []Finding) {
+	d := newDecoder()
+	d.text(s)
+	return d.document, sortFindings(d.findings)
+}
+
 // Check decodes the view's document with one section added or replaced.
 func Check(v fleet.View, changed fleet.Section) (fleet.Document, []Finding) {
 	return Decode(v.WithSection(changed).Sections())
--- a/internal/serve/admin/status.go
+++ b/internal/serve/admin/status.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/spec"
 	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
 	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/sched/ramp"
@@ -31,6 +32,8 @@
 	Steps []ZoneReturn `json:"steps,omitempty"`
 	// Pools is the entry instance's own demand for each pool.
 	Pools []spare.Load `json:"pools,omitempty"`
+	// Findings are those of stored sections that don't decode and are not fully in force.
+	Findings []spec.Finding `json:"findings,omitempty"`
 }
 
 // TeamLoad is a team's work at one entry instance, in slots.
@@ -75,6 +78,8 @@
 	Reachable bool   `json:"reachable"`
 	Revision  uint64 `json:"revision"`
 	Fresh     bool   `json:"fresh"`
+	// Findings are those of stored sections that don't decode at the entry instance.
+	Findings []spec.Finding `json:"findings,omitempty"`
 }
 
 // PoolStatus is the membership of a pool.
@@ -217,7 +222,7 @@
 	s := Status{Revision: v.Revision(), Entries: []EntryLine{}, Pools: []PoolStatus{}, Zones: []ZoneStatus{}, Teams: []TeamStatus{}}
 	for _, r := range reports {
 		s.Entries = append(s.Entries, EntryLine{Entry: r.member.ID, Zone: r.member.Zone, Reachable: r.ok,
-			Revision: r.status.Revision, Fresh: r.status.Fresh})
+			Revision: r.status.Revision, Fresh: r.status.Fresh, Findings: r.status.Findings})
 	}
 	for _, p := range v.PoolNames() {
 		s.Pools = append(s.Pools, poolStatus(v, p, failed))
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -65,6 +65,7 @@
 	stopping  atomic.Bool
 
 	connections connections
+	decoding    decoding
 }
 
 // New listens on the addresses of checked settings and assembles the parts; Run must be called next.
--- a/internal/serve/node/operators.go
+++ b/internal/serve/node/operators.go
@@ -62,7 +62,8 @@
 func (n *Node) EntryStatus() admin.EntryStatus {
 	v := n.keeper.View()
 	load := n.runner.Load()
-	s := admin.EntryStatus{Entry: n.registrar.Self().ID, Revision: v.Revision(), Fresh: n.keeper.Fresh() == nil}
+	s := admin.EntryStatus{Entry: n.registrar.Self().ID, Revision: v.Revision(), Fresh: n.keeper.Fresh() == nil,
+		Findings: n.decoding.findings(v)}
 	for _, t := range slices.Sorted(maps.Keys(v.Document().Teams)) {
 		s.Teams = append(s.Teams, admin.TeamLoad{Team: t, Running: load.Running[t], Waiting: load.Waiting[t],
 			Granted: n.book.Held(t)})
--- a/internal/serve/node/seed.go
+++ b/internal/serve/node/seed.go
@@ -37,13 +37,6 @@
 	return fmt.Errorf("%s: %w:\n%s", file, errFindings, strings.Join(lines, "\n"))
 }
 
-// decode is the view's decoder. The view decodes one changed section at a time, so findings about the rest of the
-// document mean nothing here; every edit was checked against the whole document before it was stored.
-func decode(sections []fleet.Section) (fleet.Document, error) {
-	d, _ := spec.Decode(sections)
-	return d, nil
-}
-
 // seed writes a document to an empty table; a table with sections is left as it is.
 func seed(ctx context.Context, k *view.Keeper, file string) error {
 	d, sections, err := loadSections(file)
--- a/internal/tool/opctl/report.go
+++ b/internal/tool/opctl/report.go
@@ -54,6 +54,7 @@
 func (c *client) printStatus(s admin.Status) {
 	c.tool.print("revision %d\n\n", s.Revision)
 	c.printEntries(s)
+	c.printFindings(s)
 	c.printPools(s)
 	c.printZones(s)
 	c.printTeams(s)
@@ -76,6 +77,14 @@
 	c.tool.print("\n")
 }
 
+func (c *client) printFindings(s admin.Status) {
+	for _, e := range s.Entries {
+		for _, f := range e.Findings {
+			c.tool.print("%s: stored section does not decode: %s\n", e.Entry, f)
+		}
+	}
+}
+
 func (c *client) printPools(s admin.Status) {
 	c.table(func(row func(string, ...any)) {
 		row("POOL\tMIN\tAVAILABLE\tMEMBERS\tLENT\tVERSION\tCURRENT")
