node: Test removal and certificate reload at running entry instances

The removal callback and the reload were tested by their parts alone. Two tests run them through whole entry instances: one that is removed while it runs a request refuses that as stale without claiming that it was not run, registers anew and serves again; a renewed certificate is served to callers and peers while requests go on.

--- a/internal/serve/node/node_test.go
+++ b/internal/serve/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/lab/worker"
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+	"github.com/yuccahaven/yuccahaven/internal/state/view"
 )
 
 // deployment is a platform of stand-ins with entry instances, all in this process and on loopback.
@@ -230,3 +231,38 @@
 		t.Fatalf("written at revisions %v", seeds)
 	}
 }
+
+// Guards against an entry instance that keeps its work after its removal, or that does not serve again.
+func TestRemoved(t *testing.T) {
+	d := deploy(t, 3, nil)
+	removed, other := d.nodes[0], d.nodes[1]
+	c, err := yuccahaven.NewClient([]string{"http://" + removed.Address()}, yuccahaven.WithTries(1))
+	d.must(err)
+	dropped := make(chan error, 1)
+	go func() {
+		_, err := c.Submit(context.Background(), yuccahaven.Job{Queue: "open", Key: "k", Once: true,
+			Input: input.Encode(input.Header{Run: 60_000}, nil)})
+		dropped <- err
+	}()
+	<-d.journal.started
+	id := removed.registrar.Self().ID
+	_, err = other.keeper.Edit(context.Background(), "test", func(fleet.View) ([]fleet.Item, error) {
+		return []fleet.Item{view.MemberRemoval(id)}, nil
+	})
+	d.must(err)
+	var refusal *yuccahaven.Error
+	if err := <-dropped; !errors.As(err, &refusal) || refusal.Kind != yuccahaven.KindStale || refusal.Work == yuccahaven.WorkNotRun {
+		t.Errorf("running request: %v", err)
+	}
+	for removed.registrar.Self().ID == id || !removed.registrar.Registered() {
+		<-removed.keeper.Changes()
+	}
+	for again := true; again; {
+		_, err = c.Submit(context.Background(), yuccahaven.Job{Queue: "open"})
+		again = errors.As(err, &refusal) && refusal.Kind == yuccahaven.KindStale
+	}
+	d.must(err)
+	if n := d.starts("k"); n != 1 {
+		t.Errorf("the dropped request was started %d times", n)
+	}
+}
--- a/internal/serve/node/tls_test.go
+++ b/internal/serve/node/tls_test.go
@@ -128,3 +128,41 @@
 		t.Error("a peer of another authority was admitted")
 	}
 }
+
+// Guards against a running server that goes on with the certificate it started with, and against a reload that breaks
+// requests.
+func TestReloadServing(t *testing.T) {
+	a := newAuthority(t)
+	a.sign("node", 2, a.cert, a.key)
+	d := deploy(t, 2, func(s *Settings) {
+		s.Certificate, s.Key = a.file("node.pem"), a.file("node.key")
+		s.PeerCertificate, s.PeerKey, s.PeerAuthority = s.Certificate, s.Key, a.file("authority.pem")
+	})
+	roots := x509.NewCertPool()
+	roots.AddCert(a.cert)
+	c := d.client("https", yuccahaven.WithHTTPClient(&http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: roots}}}))
+	peerTLS, err := newCertificates(a.file("node.pem"), a.file("node.key"), a.file("authority.pem"))
+	d.must(err)
+	serial := func(address string, config *tls.Config) int64 {
+		_, err := c.Submit(context.Background(), yuccahaven.Job{Queue: "open"})
+		d.must(err)
+		conn, err := tls.Dial("tcp", address, config)
+		d.must(err)
+		defer func() { _ = conn.Close() }()
+		return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+	}
+	n := d.nodes[0]
+	for _, x := range []struct {
+		address string
+		config  *tls.Config
+	}{{n.Address(), &tls.Config{RootCAs: roots}}, {n.peerAt.Addr().String(), peerTLS.forPeerClient()}} {
+		if s := serial(x.address, x.config); s != 2 {
+			t.Fatalf("serial %d, want 2", s)
+		}
+	}
+	a.sign("node", 3, a.cert, a.key)
+	// The files are looked at again within a second; a server that never does so runs into the test's time limit.
+	for serial(n.Address(), &tls.Config{RootCAs: roots}) != 3 || serial(n.peerAt.Addr().String(), peerTLS.forPeerClient()) != 3 {
+	}
+}
