lab: Connect measure to yuccalab

Cause: policy.Register existed, but no program called it, so the command that MEASURES.md and DEVELOPERS.md name did not exist. Change: the entry of yuccalab registers measure, which runs as an action of the parse; the other commands keep their table.

--- a/cmd/yuccalab/main.go
+++ b/cmd/yuccalab/main.go
@@ -1,4 +1,4 @@
-// Command yuccalab runs stand-ins for the platform, the demo, load and checks of yuccahaven.
+// Command yuccalab runs stand-ins for the platform, the demo, load, checks and measurements of yuccahaven.
 package main
 
 import (
--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -1,4 +1,4 @@
-// Package bench holds the commands of yuccalab: stand-ins, demo, load and checks.
+// Package bench holds the commands of yuccalab: stand-ins, demo, load, checks and measurements.
 package bench
 
 import (
@@ -11,6 +11,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/policy"
 )
 
 // command is one subcommand with its action; the error of the action becomes the exit status.
@@ -21,7 +23,7 @@
 
 // Main runs a command with arguments and returns its exit status.
 func Main(args []string, out io.Writer) int {
-	app := kingpin.New("yuccalab", "Stand-ins for the platform, demo, load and checks of yuccahaven.")
+	app := kingpin.New("yuccalab", "Stand-ins for the platform, demo, load, checks and measurements of yuccahaven.")
 	app.DefaultEnvars()
 	app.UsageWriter(out).ErrorWriter(os.Stderr)
 	commands := map[string]command{}
@@ -29,11 +31,16 @@
 		c := add(app)
 		commands[c.clause.FullCommand()] = c
 	}
+	policy.Register(app) // runs as an action of the parse
 	name, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "yuccalab:", err)
 		return 2
 	}
+	c, ok := commands[name]
+	if !ok {
+		return 0
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	log, err := zap.NewDevelopment()
@@ -41,7 +48,7 @@
 		fmt.Fprintln(os.Stderr, "yuccalab:", err)
 		return 2
 	}
-	if err := commands[name].run(ctx, out, log); err != nil {
+	if err := c.run(ctx, out, log); err != nil {
 		fmt.Fprintln(os.Stderr, "yuccalab:", err)
 		return 1
 	}
