lab/policy: Measure late failures and long tasks in a zone return

Cause: the zone measurement had only tasks that fail early, at a tenth of their run time, and mostly tasks of 0.2 s. Both favour short steps: every step sees many outcomes. Change: a condition in which tasks fail at their end, and a second table with tasks of 4 to 10 s. Figures have three digits after the point, because long tasks are few. Conclusion: changes of the ramp are judged by both tables.

--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -30,7 +30,7 @@
 		l := shareRun(candidates()[0], 1, time.Minute)
 		w := health.NewWatch()
 		w.Resize(poolWorkers, health.DefaultPercent)
-		return fmt.Sprint(l.got, zoneRun(moves[3], "cold", 1), faultRun(faultKinds[1], w, 1),
+		return fmt.Sprint(l.got, zoneRun(moves[3], "cold", movers, 1), faultRun(faultKinds[1], w, 1),
 			overloadRun(lines[2].build, 1.2, 1))
 	}
 	if a, b := run(), run(); a != b {
@@ -40,7 +40,7 @@
 
 // TestBaselines guards against a mechanism that is worse than having none.
 func TestBaselines(t *testing.T) {
-	failing := func(m move) float64 { return zoneRun(m, "failing", 1).done }
+	failing := func(m move) float64 { return zoneRun(m, "failing", movers, 1).done }
 	if ramped, once := failing(moves[3]), failing(moves[2]); ramped <= once {
 		t.Errorf("a failing zone completes %.0f tasks by steps and %.0f at once", ramped, once)
 	}
--- a/internal/lab/policy/zones.go
+++ b/internal/lab/policy/zones.go
@@ -33,6 +33,13 @@
 	{weight: 1, run: 3 * time.Second, load: 20, timeout: 10 * time.Second},
 }
 
+// longMovers are the same load in tasks so long that few end within a step.
+var longMovers = []team{
+	{weight: 2, run: 4 * time.Second, load: 25, timeout: 40 * time.Second},
+	{weight: 1, run: 6 * time.Second, load: 25, timeout: 40 * time.Second},
+	{weight: 1, run: 10 * time.Second, load: 20, timeout: 40 * time.Second},
+}
+
 // move is one way to take a zone out and return it.
 type move struct {
 	name string
@@ -62,30 +69,35 @@
 }
 
 // conditions are the states in which the zone's workers may be after the return.
-var conditions = []string{"ready", "cold", "cold under load", "failing"}
+var conditions = []string{"ready", "cold", "cold under load", "failing", "failing late"}
 
 // score counts tasks from the departure on.
 type score struct{ done, failed, late float64 }
 
 // zones measures the work completed from a departure until well after the return.
 func zones(o options) []table {
-	t := table{
-		Title: "Zone return: tasks completed in time from departure to 80 s after the return, thousands (failed or late)",
-		Head:  append([]string{"move"}, conditions...),
+	const title = "Zone return: %s completed in time from departure to 80 s after the return, thousands (failed or late)"
+	return []table{
+		zoneTable(o, fmt.Sprintf(title, "tasks"), movers),
+		zoneTable(o, fmt.Sprintf(title, "tasks of 4 to 10 s"), longMovers),
 	}
+}
+
+func zoneTable(o options, title string, load []team) table {
+	t := table{Title: title, Head: append([]string{"move"}, conditions...)}
 	for _, m := range moves {
 		row := []string{m.name}
 		for _, c := range conditions {
 			var sum score
-			for _, s := range parallel(o, func(seed uint64) score { return zoneRun(m, c, seed) }) {
+			for _, s := range parallel(o, func(seed uint64) score { return zoneRun(m, c, load, seed) }) {
 				sum.done += s.done / float64(o.seeds) / 1000
 				sum.failed += (s.failed + s.late) / float64(o.seeds) / 1000
 			}
-			row = append(row, fmt.Sprintf("%.2f (%.2f)", sum.done, sum.failed))
+			row = append(row, fmt.Sprintf("%.3f (%.3f)", sum.done, sum.failed))
 		}
 		t.Rows = append(t.Rows, row)
 	}
-	return []table{t}
+	return t
 }
 
 // zoneSim is a pool with one moving zone.
@@ -101,12 +113,12 @@
 	score     score
 }
 
-func zoneRun(m move, condition string, seed uint64) score {
+func zoneRun(m move, condition string, load []team, seed uint64) score {
 	z := &zoneSim{
-		sim: newSim(seed, movers, zoneWorkers, zoneCount, share.NewBalance()), move: m, condition: condition,
+		sim: newSim(seed, load, zoneWorkers, zoneCount, share.NewBalance()), move: m, condition: condition,
 		machine: ramp.New(epoch, fleet.ZoneStatus{State: fleet.ZoneIn}), in: true, work: map[string]float64{},
 	}
-	for range movers {
+	for range load {
 		z.typical = append(z.typical, learn.NewDurations())
 	}
 	z.hooks.tick, z.hooks.execute, z.hooks.ended, z.hooks.pops = z.advance, z.perform, z.end, z.pop
@@ -190,6 +202,10 @@
 		if z.now < comeback+badTime {
 			return t.run / 10, z.rng.Float64() < 0.8
 		}
+	case "failing late":
+		if z.now < comeback+badTime {
+			return t.run, z.rng.Float64() < 0.8
+		}
 	}
 	return t.run, false
 }
