ramp: Take steps of 1 s

Cause: a returning zone's slots were held back for 10 s even if it was sound, and a failing zone was found no sooner than after 2 s of its first step. Change: a step lasts 1 s; the limit for a step without outcomes stays 6 s. The scripts' times follow from that; the states they pass through are the same. The coordinator's script advances less for the same steps.

--- a/internal/sched/ramp/ramp.go
+++ b/internal/sched/ramp/ramp.go
@@ -32,9 +32,9 @@
 
 const (
 	// stepTime is the length of a step.
-	stepTime = 2 * time.Second
+	stepTime = time.Second
 	// stepLimit is how long a step waits for the first outcomes while tasks run.
-	stepLimit = 3 * stepTime
+	stepLimit = 6 * time.Second
 	// settleLimit is how long workers that stay silent or tasks without an owner can hold up the return: the
 	// longest lease of 12.5 s and some probes. The workers that respond then return without the others.
 	settleLimit = 15 * time.Second
