ramp: Hold a step while the zone is merely slow

Cause: a cold zone was taken back by its latency, though a slow slot still completes work in a full pool, and workers warm up only by working. Ruled out: ignoring latency altogether, which would put all load on a zone that slows down with its load. Change: errors beyond the tolerance take the zone back one step as before; latency beyond it repeats the step. Quality.Within is split into Failing and Slow.

--- a/internal/sched/ramp/quality.go
+++ b/internal/sched/ramp/quality.go
@@ -50,16 +50,17 @@
 	*q = Quality{Count: q.Count / 2, failed: q.failed / 2, timed: q.timed / 2, slow: q.slow / 2, squares: q.squares / 2}
 }
 
-// Within reports whether error rate and latency are within the tolerance of a reference.
-func (q Quality) Within(r Quality) bool {
-	allowed := slack + tolerance*r.failed/math.Max(float64(r.Count), 1)*float64(q.Count)
-	if q.failed > allowed {
-		return false
-	}
+// Failing reports whether the error rate exceeds the tolerance of a reference.
+func (q Quality) Failing(r Quality) bool {
+	return q.failed > slack+tolerance*r.failed/math.Max(float64(r.Count), 1)*float64(q.Count)
+}
+
+// Slow reports whether the latency exceeds the tolerance of a reference.
+func (q Quality) Slow(r Quality) bool {
 	if q.timed < minCount || r.timed < minCount {
-		return true
+		return false
 	}
 	mean := q.slow / q.timed
 	spread := math.Sqrt(math.Max(q.squares/q.timed-mean*mean, 0) / q.timed)
-	return mean-sureness*spread <= tolerance*r.slow/r.timed
+	return mean-sureness*spread > tolerance*r.slow/r.timed
 }
--- a/internal/sched/ramp/ramp.go
+++ b/internal/sched/ramp/ramp.go
@@ -246,15 +246,18 @@
 	if s.Alone || reference.Count < minCount {
 		reference = m.before
 	}
-	switch good := m.own.Within(reference); {
-	case good && m.step == len(shares)-1:
-		m.to(now, eventPass)
-	case good:
-		m.turn(now, m.step+1)
-	case m.step > 0:
+	switch failing := m.own.Failing(reference); {
+	case failing && m.step > 0:
 		m.turn(now, m.step-1)
-	default:
+	case failing:
 		m.to(now, eventRecheck)
+	case m.own.Slow(reference):
+		// A slow zone still completes work, and a cold one warms up only by working.
+		m.turn(now, m.step)
+	case m.step == len(shares)-1:
+		m.to(now, eventPass)
+	default:
+		m.turn(now, m.step+1)
 	}
 }
 
