ramp: Judge a step by three outcomes at least

Cause: a step of 1 s may see a single outcome of long tasks. One failure is forgiven per step, so a zone whose tasks all fail, but late, passed step after step. Change: while tasks run, a step waits for three outcomes instead of one, for 6 s at most. The script of bad steps gets a zone whose tasks fail one by one; with one outcome it fails.

--- a/internal/sched/ramp/ramp.go
+++ b/internal/sched/ramp/ramp.go
@@ -33,8 +33,10 @@
 const (
 	// stepTime is the length of a step.
 	stepTime = time.Second
-	// stepLimit is how long a step waits for the first outcomes while tasks run.
-	stepLimit = 6 * time.Second
+	// stepOutcomes is the number of outcomes that a step waits for while tasks run, stepLimit how long. The forgiven
+	// failure may be the only outcome of a shorter step, so that a zone whose tasks fail late would pass them all.
+	stepOutcomes = 3
+	stepLimit    = 6 * time.Second
 	// settleLimit is how long workers that stay silent or tasks without an owner can hold up the return: the
 	// longest lease of 12.5 s and some probes. The workers that respond then return without the others.
 	settleLimit = 15 * time.Second
@@ -239,7 +241,7 @@
 // climb judges the present step once it has lasted long enough.
 func (m *Machine) climb(now time.Time, s Sight) {
 	lasted := now.Sub(m.since)
-	if lasted < stepTime || m.own.Count == 0 && s.Running > 0 && lasted < stepLimit {
+	if lasted < stepTime || m.own.Count < stepOutcomes && s.Running > 0 && lasted < stepLimit {
 		return
 	}
 	reference := m.others
