ramp: Take steps of 500 ms

Cause: with three outcomes per step the length of a step no longer decides how much is seen of long tasks, and steps of 1 s still held back more than they found out. Change: a step lasts 500 ms. In a zone with few outcomes a step ends before latency can be judged.

--- a/internal/sched/ramp/ramp.go
+++ b/internal/sched/ramp/ramp.go
@@ -32,7 +32,7 @@
 
 const (
 	// stepTime is the length of a step.
-	stepTime = time.Second
+	stepTime = 500 * time.Millisecond
 	// stepOutcomes is the number of outcomes that a step waits for while tasks run, stepLimit how long. The forgiven
 	// failure may be the only outcome of a shorter step, so that a zone whose tasks fail late would pass them all.
 	stepOutcomes = 3
--- a/internal/sched/ramp/ramp_test.go
+++ b/internal/sched/ramp/ramp_test.go
@@ -17,7 +17,7 @@
 }
 
 // run executes "new", "zone" (a status of the view), "sight" (changes what is seen), "run T" (ticks twice a
-// second with own and other outcomes; "rare" own ones end once a second) and "echo" (a step reported by an entry).
+// second with eight own and other outcomes; "rare" own ones end once a second) and "echo" (a step reported by an entry).
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	status := fleet.ZoneStatus{State: fleet.ZoneIn}
 	if d.HasArg("out") {
@@ -65,12 +65,12 @@
 	}
 	last, out := "", ""
 	for ; s.now.Before(from.Add(span)); s.now = s.now.Add(500 * time.Millisecond) {
-		for i := range 4 {
+		for i := range 8 {
 			ends := !d.HasArg("quiet") && (!d.HasArg("rare") || i == 0 && s.now.Nanosecond() == 0)
 			if ends && s.m.Percent() > 0 {
-				s.m.Observe(true, d.HasArg("failing") || d.HasArg("flaky") && i == 0, slow)
+				s.m.Observe(true, d.HasArg("failing") || d.HasArg("flaky") && i%4 == 0, slow)
 			}
-			s.m.Observe(false, d.HasArg("flaky") && i == 0, 1)
+			s.m.Observe(false, d.HasArg("flaky") && i%4 == 0, 1)
 		}
 		s.m.Tick(s.now, s.s)
 		if now := s.describe(); now != last {
