--- a/internal/sched/ramp/ramp.go
+++ b/internal/sched/ramp/ramp.go
@@ -45,7 +45,7 @@
 )
 
 // shares are the steps of a ramp in percent of the availability zone's slots.
-var shares = []int{25, 50, 75, full}
+var shares = []int{10, 25, 50, 75, full}
 
 // StepInService is the step reported for a zone in service; lower steps are 0 before the ramp and 1 to 5 in it.
 var StepInService = len(shares) + 1
