lab: Fit lines to benchmark results, count memory and bytes

Cause: CAPACITY.md is to be worked out from slopes, with the fit shown. Ruled out: running the benchmarks' bodies from yuccalab: they use unexported parts of their packages and stay in test files. Change: 'yuccalab fit' reads the output of 'go test -bench' with golang.org/x/perf/benchfmt and fits a line over each numeric part of the names with gonum's stat; --at adds what the line gives at the planned size. lab/meter measures heap, processor time and bytes on connections. alloc gets benchmarks of probes, new revisions, memory and ranking. x/perf raises the indirect golang.org/x/sys to v0.48.0.

--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/lab/policy"
+	"github.com/yuccahaven/yuccahaven/internal/lab/slope"
 )
 
 // command is one subcommand with its action; the error of the action becomes the exit status.
@@ -31,7 +32,9 @@
 		c := add(app)
 		commands[c.clause.FullCommand()] = c
 	}
-	policy.Register(app) // runs as an action of the parse
+	// These run as actions of the parse.
+	policy.Register(app)
+	slope.Register(app)
 	name, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "yuccalab:", err)
--- a/internal/lab/bench/bench_test.go
+++ b/internal/lab/bench/bench_test.go
@@ -14,6 +14,8 @@
 		{[]string{"measure", "--seeds", "1", "--length", "2m", "cancels"}, 0},
 		{[]string{"measure", "--seeds", "0"}, 2},
 		{[]string{"measure", "weather"}, 2},
+		{[]string{"fit", "../slope/testdata/fit"}, 0},
+		{[]string{"fit", "bench.go"}, 2},
 		{[]string{"audit", "--journal", "/dev/null"}, 0},
 		{[]string{"audit", "--journal", "testdata/absent"}, 2},
 	} {
--- /dev/null
+++ b/internal/lab/meter/meter_test.go
@@ -0,0 +1,62 @@
+package meter
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"testing"
+)
+
+// TestListener guards against bytes that are counted once for two directions or not at all.
+func TestListener(t *testing.T) {
+	l, err := Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		_, err = io.CopyN(c, c, 5)
+		done <- err
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if got := l.Bytes(); got != 10 {
+		t.Errorf("%d bytes counted, want 10", got)
+	}
+}
+
+// TestHeap guards against a heap figure that leaves out what is reachable, or CPU time that stands still.
+func TestHeap(t *testing.T) {
+	const size = 16 << 20
+	before, cpu := Heap(), CPU()
+	b := make([]byte, size)
+	for i := range b {
+		b[i] = byte(i)
+	}
+	after := Heap()
+	runtime.KeepAlive(b)
+	if grown := int64(after) - int64(before); grown < size {
+		t.Errorf("the heap grew by %d bytes with %d bytes live", grown, len(b))
+	}
+	if CPU() <= cpu {
+		t.Error("no processor time was counted")
+	}
+}
--- /dev/null
+++ b/internal/lab/slope/register.go
@@ -0,0 +1,44 @@
+package slope
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Register adds the command "fit" to an application.
+func Register(app *kingpin.Application) {
+	c := app.Command("fit", "Fit lines to benchmark results, as printed by go test -bench.")
+	file := c.Arg("file", "File of results; standard input by default.").ExistingFile()
+	at := c.Flag("at", "Planned size, such as workers=30000; may be repeated.").StringMap()
+	units := c.Flag("unit", "Unit to show, such as sec/op; may be repeated, all by default.").Strings()
+	c.Action(func(*kingpin.ParseContext) error { return run(*file, *at, *units) })
+}
+
+func run(file string, at map[string]string, units []string) error {
+	in := io.Reader(os.Stdin)
+	if file != "" {
+		f, err := os.Open(file)
+		if err != nil {
+			return fmt.Errorf("slope: %w", err)
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	plan := map[string]float64{}
+	for key, value := range at {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return fmt.Errorf("slope: size %s: %w", key, err)
+		}
+		plan[key] = n
+	}
+	samples, err := Read(in)
+	if err != nil {
+		return err
+	}
+	return Write(os.Stdout, Fits(samples), plan, units)
+}
--- a/internal/sched/alloc/bench_test.go
+++ b/internal/sched/alloc/bench_test.go
@@ -51,60 +51,77 @@
 	}
 }
 
-func benchPoll(b *testing.B, workers, teams int, reorder bool) {
-	c := NewCoordinator("c.1", still{benchView(workers, teams)}, nil)
-	entries := []fleet.EntryID{"e0.1", "e1.1", "e2.1", "e3.1", "e4.1", "e5.1"}
-	requests := make([]peer.PollRequest, len(entries))
-	poll := func(i int) peer.PollReply {
-		q := &requests[i]
-		q.Sequence++
-		r, err := c.Poll(context.Background(), *q)
-		if err != nil {
-			b.Fatal(err)
-		}
-		return r
-	}
-	for i, id := range entries {
-		requests[i] = peer.PollRequest{From: id, Pool: "p"}
-		poll(i)
+// filled is a coordinator whose pool is full, with the pictures of its entries.
+type filled struct {
+	b        *testing.B
+	c        *Coordinator
+	requests []peer.PollRequest
+	tasks    int
+}
+
+func fill(b *testing.B, workers, teams int) *filled {
+	f := &filled{b: b, c: NewCoordinator("c.1", still{benchView(workers, teams)}, nil)}
+	f.requests = make([]peer.PollRequest, 6)
+	for i := range f.requests {
+		f.requests[i] = peer.PollRequest{From: fleet.EntryID(fmt.Sprintf("e%d.1", i)), Pool: "p"}
+		f.poll(i)
 	}
-	p := c.pools["p"]
+	p := f.pool()
 	for _, w := range p.order {
 		p.probed(w, worker.Report{Instance: w.ID, Slots: benchSlots}, nil, time.Now())
 	}
-	tasks := 0
-	occupy := func(i int, permits []peer.Permit) {
-		for _, m := range permits {
-			tasks++
-			requests[i].Occupied = append(requests[i].Occupied, peer.Occupied{
-				Task: fleet.TaskID(fmt.Sprint("task", tasks)), Worker: m.Worker, Team: m.Team, Slots: m.Slots})
-		}
-	}
 	for t := range teams {
 		name := fleet.TeamName(fmt.Sprint("t", t))
-		for i := range requests {
-			requests[i].Demand = append(requests[i].Demand, peer.Demand{Team: name, Waiting: 1 << 16, Usable: workers*benchSlots/6/teams + 1})
+		for i := range f.requests {
+			f.requests[i].Demand = append(f.requests[i].Demand,
+				peer.Demand{Team: name, Waiting: 1 << 16, Usable: workers*benchSlots/6/teams + 1})
 		}
 	}
 	for range 3 {
-		for i := range requests {
-			occupy(i, poll(i).Permits)
+		for i := range f.requests {
+			f.occupy(i, f.poll(i).Permits)
 		}
 	}
+	return f
+}
+
+func (f *filled) pool() *pool { return f.c.pools["p"] }
+
+func (f *filled) poll(i int) peer.PollReply {
+	q := &f.requests[i]
+	q.Sequence++
+	r, err := f.c.Poll(context.Background(), *q)
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	return r
+}
+
+func (f *filled) occupy(i int, permits []peer.Permit) {
+	for _, m := range permits {
+		f.tasks++
+		f.requests[i].Occupied = append(f.requests[i].Occupied, peer.Occupied{
+			Task: fleet.TaskID(fmt.Sprint("task", f.tasks)), Worker: m.Worker, Team: m.Team, Slots: m.Slots})
+	}
+}
+
+func benchPoll(b *testing.B, workers, teams int, reorder bool) {
+	f := fill(b, workers, teams)
 	b.ReportAllocs()
 	n := 0
 	for b.Loop() {
-		i := n % len(requests)
+		i := n % len(f.requests)
 		n++
-		if len(requests[i].Occupied) > 1 {
-			requests[i].Occupied = requests[i].Occupied[1:]
+		q := &f.requests[i]
+		if len(q.Occupied) > 1 {
+			q.Occupied = q.Occupied[1:]
 		}
 		if reorder {
-			slices.Reverse(requests[i].Occupied)
+			slices.Reverse(q.Occupied)
 		}
-		occupy(i, poll(i).Permits)
+		f.occupy(i, f.poll(i).Permits)
 	}
-	b.ReportMetric(float64(len(requests[0].Occupied)), "tasks/poll")
+	b.ReportMetric(float64(len(f.requests[0].Occupied)), "tasks/poll")
 }
 
 // BenchmarkPlacement places a task on one of the free workers and ends it again.
