fleet: Keep members of pools and entry instances sorted

Cause: Pool and Members collected a map and sorted it at each call; planners read every pool twice a second, and a coordinator at each revision. Ruled out: keeping maps and sorted slices side by side, which costs memory for look-ups that a binary search makes in about the same time. Change: the view holds sorted slices; Pool and Members return copies. A list that is in order already is not sorted again. SamePool tells whether a pool was replaced between two views. Conclusion: the planners' passes are far more frequent than moves of instances, which pay for the dearer search.

--- a/internal/model/fleet/view.go
+++ b/internal/model/fleet/view.go
@@ -75,8 +75,8 @@
 	document Document
 	sections map[string]Section
 	zones    map[AvailabilityZone]ZoneStatus
-	members  map[EntryID]Member
-	pools    map[PoolName]map[InstanceID]PoolMember
+	members  []Member                  // sorted by identifier
+	pools    map[PoolName][]PoolMember // each sorted by identifier
 }
 
 // Revision returns the view's revision; 0 is the empty view.
@@ -106,18 +106,23 @@
 
 // Member returns a registered entry instance.
 func (v View) Member(id EntryID) (Member, bool) {
-	m, ok := v.members[id]
-	return m, ok
+	i, ok := slices.BinarySearchFunc(v.members, id, compareMember)
+	if !ok {
+		return Member{}, false
+	}
+	return v.members[i], true
 }
 
 // Members returns every registered entry instance sorted by identifier.
-func (v View) Members() []Member {
-	return slices.SortedFunc(maps.Values(v.members), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-}
+func (v View) Members() []Member { return slices.Clone(v.members) }
 
 // Pool returns the members of a pool sorted by identifier.
-func (v View) Pool(p PoolName) []PoolMember {
-	return slices.SortedFunc(maps.Values(v.pools[p]), func(a, b PoolMember) int { return cmp.Compare(a.ID, b.ID) })
+func (v View) Pool(p PoolName) []PoolMember { return slices.Clone(v.pools[p]) }
+
+// SamePool reports whether a pool was not replaced between two views, of which one comes from the other.
+func (v View) SamePool(o View, p PoolName) bool {
+	a, b := v.pools[p], o.pools[p]
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // PoolNames returns the names of every pool that has members or a section, sorted.
@@ -134,14 +139,18 @@
 
 // PoolMember returns one instance of a pool.
 func (v View) PoolMember(p PoolName, id InstanceID) (PoolMember, bool) {
-	m, ok := v.pools[p][id]
-	return m, ok
+	members := v.pools[p]
+	i, ok := slices.BinarySearchFunc(members, id, comparePoolMember)
+	if !ok {
+		return PoolMember{}, false
+	}
+	return members[i], true
 }
 
 // PoolOf returns the pool an instance belongs to.
 func (v View) PoolOf(id InstanceID) (PoolName, bool) {
 	for p, members := range v.pools {
-		if _, ok := members[id]; ok {
+		if _, ok := slices.BinarySearchFunc(members, id, comparePoolMember); ok {
 			return p, true
 		}
 	}
@@ -150,7 +159,7 @@
 
 // Startable reports whether new tasks may start on an instance of a pool under this view.
 func (v View) Startable(p PoolName, id InstanceID) bool {
-	m, ok := v.pools[p][id]
+	m, ok := v.PoolMember(p, id)
 	return ok && m.State == InstanceActive && v.Zone(m.Zone).State == ZoneIn
 }
 
@@ -186,26 +195,48 @@
 
 // WithMember returns the view with an entry instance registered.
 func (v View) WithMember(m Member) View {
-	v.members = with(v.members, m.ID, m)
+	v = v.WithoutMember(m.ID)
+	i, _ := slices.BinarySearchFunc(v.members, m.ID, compareMember)
+	v.members = slices.Insert(slices.Clone(v.members), i, m)
 	return v
 }
 
 // WithoutMember returns the view without an entry instance.
 func (v View) WithoutMember(id EntryID) View {
-	v.members = without(v.members, id)
+	v.members = slices.DeleteFunc(slices.Clone(v.members), func(m Member) bool { return m.ID == id })
 	return v
 }
 
 // WithPool returns the view with the whole membership of a pool replaced.
 func (v View) WithPool(p PoolName, members []PoolMember) View {
-	byID := make(map[InstanceID]PoolMember, len(members))
-	for _, m := range members {
-		byID[m.ID] = m
-	}
-	v.pools = with(v.pools, p, byID)
+	v.pools = with(v.pools, p, sorted(members))
 	return v
 }
 
+// sorted returns a copy of members by identifier; of several with the same one the last counts.
+func sorted(members []PoolMember) []PoolMember {
+	c := slices.Clone(members)
+	if ascending(c) {
+		return c
+	}
+	slices.Reverse(c)
+	slices.SortStableFunc(c, func(a, b PoolMember) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.Clip(slices.CompactFunc(c, func(a, b PoolMember) bool { return a.ID == b.ID }))
+}
+
+func ascending(members []PoolMember) bool {
+	for i := 1; i < len(members); i++ {
+		if members[i-1].ID >= members[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
+func compareMember(m Member, id EntryID) int { return cmp.Compare(m.ID, id) }
+
+func comparePoolMember(m PoolMember, id InstanceID) int { return cmp.Compare(m.ID, id) }
+
 func with[K comparable, V any](m map[K]V, k K, val V) map[K]V {
 	c := make(map[K]V, len(m)+1)
 	maps.Copy(c, m)
