alloc: Follow a new revision only if the pool or its zones changed

Rank hashed two names per comparison. Change: workers are followed if the pool's members or the state of one of its zones differ from the view followed last; teams' weights are followed at each revision as before. Rank hashes each member once.

--- a/internal/sched/alloc/pool.go
+++ b/internal/sched/alloc/pool.go
@@ -46,8 +46,8 @@
 
 	mu       sync.Mutex
 	polled   time.Time
-	revision uint64
-	known    bool // the first view was applied
+	known    bool       // the first view was applied
+	view     fleet.View // the last view applied
 	document fleet.Document
 	picker   *place.Picker
 	sharer   *share.Sharer
@@ -84,11 +84,13 @@
 
 // follow applies a new view: workers, their states, and the teams' weights.
 func (p *pool) follow(v fleet.View, now time.Time) {
-	if p.known && v.Revision() == p.revision {
+	if p.known && v.Revision() == p.view.Revision() {
 		return
 	}
-	p.known, p.revision = true, v.Revision()
-	p.followWorkers(v, now)
+	if !p.known || !v.SamePool(p.view, p.name) || p.zonesChanged(v) {
+		p.followWorkers(v, now)
+	}
+	p.known, p.view = true, v
 	p.document = v.Document()
 	p.health.Resize(len(p.order), p.document.Pools[p.name].Quarantine)
 	for _, t := range p.teams {
--- a/internal/sched/alloc/rank.go
+++ b/internal/sched/alloc/rank.go
@@ -11,10 +11,24 @@
 
 // Rank orders the members for a pool by rendezvous hashing; the first reachable one is the pool's coordinator.
 func Rank(members []fleet.Member, p fleet.PoolName) []fleet.Member {
-	ranked := slices.Clone(members)
-	slices.SortStableFunc(ranked, func(a, b fleet.Member) int {
-		return cmp.Or(cmp.Compare(score(b.ID, p), score(a.ID, p)), cmp.Compare(a.ID, b.ID))
+	type scored struct {
+		fleet.Member
+		score uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		all[i] = scored{m, score(m.ID, p)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
 	})
+	ranked := make([]fleet.Member, len(members))
+	for i, s := range all {
+		ranked[i] = s.Member
+	}
 	return ranked
 }
 
--- a/internal/sched/alloc/zone.go
+++ b/internal/sched/alloc/zone.go
@@ -26,6 +26,16 @@
 	return z
 }
 
+// zonesChanged reports whether the state of one of the pool's zones is not that of the last view.
+func (p *pool) zonesChanged(v fleet.View) bool {
+	for name := range p.zones {
+		if v.Zone(name) != p.view.Zone(name) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pool) followZones(v fleet.View, now time.Time) {
 	for _, z := range p.zones {
 		z.machine.Follow(now, v.Zone(z.name))
