roster: Share one list between the readers of a process

Cause: three parts of an entry instance read the platform's list on their own: two every second (one of them only at the instance that follows the roster) and one every two seconds. The list is the largest message at rest. Ruled out: a longer interval, which delays the exclusion of leaving workers. Change: roster.Shared answers readers from a list that was asked for less than 900 ms ago; every reader still sees a new list at each of its reads.

--- /dev/null
+++ b/internal/plat/roster/shared_test.go
@@ -0,0 +1,63 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestShared guards against one request per reader, against a list that is shared for ever, and against a failed
+// read that is remembered.
+func TestShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var reads atomic.Int64
+		var broken error
+		s := NewShared(NewClient("http://roster.invalid"))
+		s.list = func(context.Context) ([]Listing, error) {
+			reads.Add(1)
+			time.Sleep(100 * time.Millisecond)
+			return []Listing{{ID: "w1"}}, broken
+		}
+		broken = ErrUnavailable
+		if _, err := s.List(t.Context()); !errors.Is(err, ErrUnavailable) {
+			t.Fatalf("error %v from a broken roster", err)
+		}
+		broken = nil
+		readers(t, s)
+		if n := reads.Load(); n != 2 {
+			t.Errorf("%d requests for a failed read and ten readers, want 2", n)
+		}
+		time.Sleep(sharedFor)
+		readers(t, s)
+		if n := reads.Load(); n != 3 {
+			t.Errorf("%d requests after the list expired, want 3", n)
+		}
+	})
+}
+
+func readers(t *testing.T, s *Shared) {
+	var g sync.WaitGroup
+	for range 10 {
+		g.Go(func() {
+			if l, err := s.List(t.Context()); err != nil || len(l) != 1 {
+				t.Errorf("list %v, error %v", l, err)
+			}
+		})
+	}
+	g.Wait()
+}
+
+// TestSharedPatience guards against a reader that waits for another one's request beyond its own context.
+func TestSharedPatience(t *testing.T) {
+	s := NewShared(NewClient("http://roster.invalid"))
+	s.turn <- struct{}{}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := s.List(ended); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("error %v for a reader that gave up waiting", err)
+	}
+}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -103,7 +103,8 @@
 
 func (n *Node) assemble() {
 	s := n.settings
-	t, o, l, w := table.NewClient(s.Table), object.NewClient(s.Object), roster.NewClient(s.Roster), worker.NewClient()
+	t, o, w := table.NewClient(s.Table), object.NewClient(s.Object), worker.NewClient()
+	l := roster.NewShared(roster.NewClient(s.Roster))
 	n.peers = peer.NewClient(s.PeerToken, n.peerOptions()...)
 	self := member.NewID(s.Name)
 	n.keeper = view.New(self, t, n.peers, decode, view.WithLog(n.part("view")), view.WithSeeds(n.seeds(l)))
@@ -165,7 +166,7 @@
 }
 
 // seeds returns where to ask for the view when the store is down at the start.
-func (n *Node) seeds(l *roster.Client) func(context.Context) ([]string, error) {
+func (n *Node) seeds(l *roster.Shared) func(context.Context) ([]string, error) {
 	return func(ctx context.Context) ([]string, error) {
 		listings, err := l.List(ctx)
 		var addresses []string
--- a/internal/serve/node/watch.go
+++ b/internal/serve/node/watch.go
@@ -18,7 +18,7 @@
 
 // watch follows the platform's roster: it knows which workers are leaving.
 type watch struct {
-	roster  *roster.Client
+	roster  *roster.Shared
 	log     *zap.Logger
 	leaving atomic.Pointer[map[fleet.InstanceID]bool]
 }
