--- a/internal/lab/slope/table.go
+++ b/internal/lab/slope/table.go
@@ -42,7 +42,7 @@
 
 // scaled formats seconds with a suitable unit and other values with three digits.
 func scaled(v float64, unit string) string {
-	if !strings.HasPrefix(unit, "sec") {
+	if !strings.HasPrefix(strings.TrimPrefix(unit, "cpu-"), "sec") {
 		return fmt.Sprintf("%.3g", v)
 	}
 	for _, u := range []struct {
