matrix: Show that the checks fail without each safety mechanism

Wrappers around the worker client, the view, the records, the grants, the peers, the table and the operator's edits switch one mechanism off; a test asserts for each that a matching cell then shows the violation. A commit that writes a revision twice is a violation ("reverted").

--- a/internal/lab/matrix/fault.go
+++ b/internal/lab/matrix/fault.go
@@ -114,7 +114,7 @@
 		{"reply lost", 2 * time.Second, func(w *World, _ message) treatment { return w.fault(store.Faults{Lose: 1}) }},
 		{"list lags", 2 * rosterLag, (*World).takeAway},
 		{"lease lapsed", longFreeze, (*World).freezeWorker},
-		{"operators race", 3 * time.Second, treat(deliver)}, // the row's own race commands run
+		{"operators race", 3 * time.Second, treat(yield)}, // the row's own race commands run
 		{"worker killed", 4 * time.Second, (*World).killWorker},
 	}
 }
--- a/internal/lab/matrix/link.go
+++ b/internal/lab/matrix/link.go
@@ -146,6 +146,8 @@
 	lateBy      = 600 * time.Millisecond
 	// callerPatience is how long a caller waits on a silent connection.
 	callerPatience = 3 * time.Second
+	// yieldFor lets racing operators base their changes on the same revision and commit first.
+	yieldFor = 10 * time.Millisecond
 	// doubledBy separates the copies of a doubled message.
 	doubledBy = 30 * time.Millisecond
 	// overtakenBy bounds the wait of a reordered message for a later one that overtakes it.
@@ -161,6 +163,7 @@
 const (
 	deliver treatment = iota
 	hold              // until the end of the sender's freeze
+	yield             // to the messages of others that were caused at the same time
 	late
 	double
 	reorder
@@ -184,6 +187,8 @@
 			return none, ctx.Err()
 		}
 		return r, err
+	case yield:
+		time.Sleep(yieldFor)
 	case late:
 		time.AfterFunc(lateBy, func() { _, _ = send(lasting) })
 		time.Sleep(brokenAfter)
--- a/internal/lab/matrix/without.go
+++ b/internal/lab/matrix/without.go
@@ -114,17 +114,21 @@
 	return claim.Record{}, claim.ErrAbsent
 }
 
-func (m Mechanism) peers(p view.Peers) view.Peers {
+func (m Mechanism) peers(e *Entry, p view.Peers) view.Peers {
 	if m == Majority {
-		return unheard{p}
+		return unheard{p, e}
 	}
 	return p
 }
 
 // unheard sends no pushes and takes them for acknowledged.
-type unheard struct{ view.Peers }
+type unheard struct {
+	view.Peers
+	entry *Entry
+}
 
-func (unheard) Push(_ context.Context, address string, q peer.PushRequest) (peer.PushReply, error) {
+func (u unheard) Push(_ context.Context, address string, q peer.PushRequest) (peer.PushReply, error) {
+	u.entry.world.spring(message{entry: u.entry, step: "peer.push", host: address})
 	a := peer.PushReply{From: fleet.EntryID(address + ".1")}
 	if n := len(q.Deltas); n > 0 {
 		a.Revision = q.Deltas[n-1].Revision
--- a/internal/lab/matrix/world.go
+++ b/internal/lab/matrix/world.go
@@ -62,6 +62,7 @@
 	taken    fleet.InstanceID
 	zone     string // of the worker at the step
 	pools    map[fleet.PoolName][]fleet.PoolMember
+	head     uint64 // revision last written
 	breaches []string
 	notes    []string
 	requests int
