--- a/internal/sched/ramp/ramp.go
+++ b/internal/sched/ramp/ramp.go
@@ -32,9 +32,11 @@
 
 const (
 	// stepTime is the length of a step.
-	stepTime = 2 * time.Second
-	// stepLimit is how long a step waits for the first outcomes while tasks run.
-	stepLimit = 3 * stepTime
+	stepTime = 500 * time.Millisecond
+	// stepOutcomes is the number of outcomes that a step waits for while tasks run, stepLimit how long. The forgiven
+	// failure may be the only outcome of a shorter step, so that a zone whose tasks fail late would pass them all.
+	stepOutcomes = 3
+	stepLimit    = 6 * time.Second
 	// settleLimit is how long workers that stay silent or tasks without an owner can hold up the return: the
 	// longest lease of 12.5 s and some probes. The workers that respond then return without the others.
 	settleLimit = 15 * time.Second
@@ -239,22 +241,25 @@
 // climb judges the present step once it has lasted long enough.
 func (m *Machine) climb(now time.Time, s Sight) {
 	lasted := now.Sub(m.since)
-	if lasted < stepTime || m.own.Count == 0 && s.Running > 0 && lasted < stepLimit {
+	if lasted < stepTime || m.own.Count < stepOutcomes && s.Running > 0 && lasted < stepLimit {
 		return
 	}
 	reference := m.others
 	if s.Alone || reference.Count < minCount {
 		reference = m.before
 	}
-	switch good := m.own.Within(reference); {
-	case good && m.step == len(shares)-1:
-		m.to(now, eventPass)
-	case good:
-		m.turn(now, m.step+1)
-	case m.step > 0:
+	switch failing := m.own.Failing(reference); {
+	case failing && m.step > 0:
 		m.turn(now, m.step-1)
-	default:
+	case failing:
 		m.to(now, eventRecheck)
+	case m.own.Slow(reference):
+		// A slow zone still completes work, and a cold one warms up only by working.
+		m.turn(now, m.step)
+	case m.step == len(shares)-1:
+		m.to(now, eventPass)
+	default:
+		m.turn(now, m.step+1)
 	}
 }
 
