view: Confirm edits that change nothing

Cause: an edit that was stored and not confirmed is answered "stored, not yet confirmed". When the operator repeated it, it changed nothing any more and was reported as accepted at once, although no majority had acknowledged its revision. Entry instances that confirm each other during a store outage could then act on the older view for longer than the bound.

Ruled out: the acknowledgement of edits with changes, which waits.

Change: an edit without changes waits for a majority of the members to have applied the revision it is based on, and is "not yet confirmed" otherwise.

Result: testdata/scripts/repeated fails without the change and passes with it.

--- a/internal/state/view/edit.go
+++ b/internal/state/view/edit.go
@@ -96,7 +96,8 @@
 		return 0, err
 	}
 	if len(items) == 0 {
-		return base.Revision(), nil
+		// The change may be that of an earlier edit which was stored and not confirmed.
+		return base.Revision(), k.settleEdit(ctx, base.Revision(), base.Members())
 	}
 	revision := h.revision + 1
 	items, err = stamp(base, items, revision)
@@ -117,13 +118,18 @@
 	if err != nil {
 		return revision, err
 	}
+	return revision, k.settleEdit(ctx, revision, base.Members(), after.view.Members())
+}
+
+// settleEdit waits until a majority of each list of members has applied a revision.
+func (k *Keeper) settleEdit(ctx context.Context, revision uint64, lists ...[]fleet.Member) error {
 	wait, cancel := context.WithTimeout(ctx, confirmWithin)
 	defer cancel()
-	if !k.spread(wait, revision, base.Members(), after.view.Members()) {
-		return revision, reject.New(reject.KindUnconfirmed, reject.WorkRun,
-			"stored as revision %d, not yet confirmed by a majority of the entry instances", revision)
+	if k.acknowledged(revision, lists) || k.spread(wait, revision, lists...) {
+		return nil
 	}
-	return revision, nil
+	return reject.New(reject.KindUnconfirmed, reject.WorkRun,
+		"stored as revision %d, not yet confirmed by a majority of the entry instances", revision)
 }
 
 // permitMembers allows an edit to change one member, after a majority of the members has applied the view it
--- a/internal/state/view/view_test.go
+++ b/internal/state/view/view_test.go
@@ -204,6 +204,8 @@
 		return c.edit(names[0], view.MemberRemoval(fleet.EntryID(names[1])))
 	case "edit":
 		return c.edit(names[0], view.SectionItem(fleet.Section{Name: names[1], Text: names[2]}))
+	case "again":
+		return c.edit(names[0]) // an edit that changes nothing
 	case "edits":
 		n, _ := strconv.Atoi(names[1])
 		for i := range n {
