--- a/internal/serve/runner/script_test.go
+++ b/internal/serve/runner/script_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/state/claim"
 )
 
@@ -40,7 +41,7 @@
 func newWorld() *world {
 	w := &world{members: map[fleet.EntryID]bool{}, leaving: map[fleet.InstanceID]bool{},
 		records: map[string]claim.Record{}, objects: map[string][]byte{}, runners: map[string]*entryRunner{},
-		began: time.Now(), pick: "w1"}
+		began: time.Now(), pick: []fleet.InstanceID{"w1"}}
 	w.workers = &fakeWorkers{mu: &sync.Mutex{}, nodes: map[string]*fakeWorker{}, journal: w.log}
 	for _, id := range []string{"w1", "w2"} {
 		w.workers.nodes[id] = &fakeWorker{boot: id + ".1", faults: map[string]int{}, tasks: map[fleet.TaskID]*fakeTask{}}
@@ -61,7 +62,8 @@
 func (w *world) addEntry(id fleet.EntryID, units int) {
 	e := &entryRunner{w: w, id: id, held: units}
 	workers := &fakeWorkers{mu: w.workers.mu, cut: &e.cut, nodes: w.workers.nodes, journal: w.log}
-	e.Runner = New(Parts{Views: w, Workers: workers, Grants: e, Records: w, Objects: w, Members: e, Roster: w, Owners: w})
+	e.Runner = New(Parts{Views: w, Workers: workers, Grants: e, Records: w, Objects: w, Members: e, Roster: w, Owners: w,
+		Memory: w.memory})
 	e.Attach(e)
 	w.members[id] = true
 	w.runners[string(id)] = e
@@ -104,6 +106,9 @@
 		}
 		time.Sleep(dur)
 		synctest.Wait()
+	case "sleep":
+		time.Sleep(10 * time.Second)
+		return ""
 	case "lose":
 		w.workers.mu.Lock()
 		n, _ := strconv.Atoi(arg("n", "1"))
@@ -119,6 +124,12 @@
 		e.Permit(w.permit("main", "blue"))
 	case "kill":
 		w.kill(e)
+	case "count":
+		// Moments that depend on the order of polls are left out.
+		return fmt.Sprintln(strings.Count(w.flush(), strings.TrimSpace(d.Input)))
+	case "load":
+		l := e.Load().Pools["main"]
+		return fmt.Sprintf("running %d, waiting %d\n", l.Running, l.Waiting)
 	case "used":
 		return fmt.Sprintf("used %d\n", e.held-e.Free(""))
 	case "poll":
@@ -223,6 +234,9 @@
 			ms := w.view.Pool("main")
 			ms[0].State = fleet.InstanceDraining
 			w.view = w.view.WithPool("main", ms)
+		case "memory":
+			n, _ := strconv.ParseInt(a.Vals[0], 10, 64)
+			w.memory = admit.NewMemory(n)
 		case "units":
 			for _, e := range w.runners {
 				e.mu.Lock()
@@ -238,9 +252,16 @@
 		case "hold":
 			w.hold = on
 		case "leaving":
-			w.leaving["w1"] = on
+			id := fleet.InstanceID("w1")
+			if on && len(a.Vals) > 0 {
+				id = fleet.InstanceID(a.Vals[0])
+			}
+			w.leaving[id] = on
 		case "pick":
-			w.pick = fleet.InstanceID(a.Vals[0])
+			w.pick, w.picked = nil, 0
+			for _, id := range a.Vals {
+				w.pick = append(w.pick, fleet.InstanceID(id))
+			}
 		case "pool":
 			doc := w.view.Document()
 			q := doc.Queues["rope"]
