--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -25,7 +25,7 @@
 	app.DefaultEnvars()
 	app.UsageWriter(out).ErrorWriter(os.Stderr)
 	commands := map[string]command{}
-	for _, add := range []func(*kingpin.Application) command{addStore, addWorker, addAudit, addLoad, addDemo} {
+	for _, add := range []func(*kingpin.Application) command{addStore, addWorker, addAudit, addLoad, addDemo, addTrial} {
 		c := add(app)
 		commands[c.clause.FullCommand()] = c
 	}
--- a/internal/lab/demo/drive.go
+++ b/internal/lab/demo/drive.go
@@ -34,13 +34,13 @@
 			d.absence.out, err = d.operator.zone(ctx, d.absence.zone, fleet.ZoneOut)
 			return err
 		}},
-		{"ceiling is lowered", 0.4, func(ctx context.Context) error { return d.operator.ceiling(ctx, small, small.ceiling/2) }},
-		{"worker leaves", 0.5, func(context.Context) error { return d.platform.Leave("w-b0") }},
+		{"ceiling is lowered", 0.4, func(ctx context.Context) error { return d.operator.ceiling(ctx, small, small.Ceiling/2) }},
+		{"worker leaves", 0.5, func(context.Context) error { return d.Platform.Leave("w-b0") }},
 		{"zone returns", 0.6, func(ctx context.Context) (err error) {
 			d.absence.back, err = d.operator.zone(ctx, d.absence.zone, fleet.ZoneIn)
 			return err
 		}},
-		{"ceiling is raised", 0.7, func(ctx context.Context) error { return d.operator.ceiling(ctx, small, small.ceiling) }},
+		{"ceiling is raised", 0.7, func(ctx context.Context) error { return d.operator.ceiling(ctx, small, small.Ceiling) }},
 	}
 }
 
@@ -52,7 +52,7 @@
 	var report load.Report
 	g.Go(func() (err error) {
 		report, err = load.Run(ctx, load.Settings{
-			Endpoints: d.urls(), Teams: teams(d.customers, d.settings.Factor), Length: d.settings.Load, Surge: surge,
+			Endpoints: d.URLs(), Teams: teams(d.customers, d.settings.Factor), Length: d.settings.Load, Surge: surge,
 			Tries: 4, Seed: uint64(time.Now().UnixNano()), Prefix: "demo", Sink: d.calls,
 		})
 		return err
@@ -79,9 +79,9 @@
 // save keeps the records beside the logs, so that `yuccalab audit` can check them again.
 func (d *demo) save() error {
 	return errors.Join(
-		saveLines(d.settings.Dir, "journal", d.platform.Journal.Records()),
+		saveLines(d.settings.Dir, "journal", d.Platform.Journal.Records()),
 		saveLines(d.settings.Dir, "calls", d.calls.Records()),
-		saveLines(d.settings.Dir, "edits", d.platform.Edits.Records()))
+		saveLines(d.settings.Dir, "edits", d.Platform.Edits.Records()))
 }
 
 func saveLines[R record.Kind](dir, name string, records []R) error {
--- a/internal/lab/demo/launch.go
+++ b/internal/lab/demo/launch.go
@@ -41,10 +41,10 @@
 // URL returns the base URL for callers and operators.
 func (e Entry) URL() string { return "http://" + e.Listen }
 
-// Build builds the program into a directory and returns its path.
-func Build(ctx context.Context, dir string) (string, error) {
+// Build builds the program into a directory and returns its path; flags are those of the Go command.
+func Build(ctx context.Context, dir string, flags ...string) (string, error) {
 	path := filepath.Join(dir, "yuccahaven")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", path, command).CombinedOutput()
+	out, err := exec.CommandContext(ctx, "go", append(append([]string{"build"}, flags...), "-o", path, command)...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("demo: build: %w: %s", err, out)
 	}
@@ -79,6 +79,9 @@
 	return p, nil
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Exited reports whether the process has ended, and how.
 func (p *Process) Exited() (bool, error) {
 	select {
--- a/internal/lab/demo/operator.go
+++ b/internal/lab/demo/operator.go
@@ -76,8 +76,8 @@
 	return t, err
 }
 
-func (o *operator) ceiling(ctx context.Context, c customer, ceiling int) error {
-	t, err := o.put(ctx, "/v1/document/sections/team/"+c.name, mustYAML(c.teamSection(ceiling)))
+func (o *operator) ceiling(ctx context.Context, c Customer, ceiling int) error {
+	t, err := o.put(ctx, "/v1/document/sections/team/"+c.Name, mustYAML(c.teamSection(ceiling)))
 	if err == nil {
 		o.sink.Write(record.Edit{Kind: record.EditCeiling, Sent: t.sent, Time: t.accepted, Team: c.team(), Count: ceiling})
 	}
--- a/internal/lab/demo/plan.go
+++ b/internal/lab/demo/plan.go
@@ -27,45 +27,51 @@
 
 func zones() []fleet.AvailabilityZone { return []fleet.AvailabilityZone{"a", "b", "c"} }
 
-// customer is one customer with one team and one queue.
-type customer struct {
-	name    string
-	pool    fleet.PoolName
-	share   int
-	ceiling int
-	// rate is the mean, in requests a second; run the mean run time in milliseconds.
-	rate float64
-	run  int64
+// Customer is one customer with one team and one queue.
+type Customer struct {
+	Name    string
+	Pool    fleet.PoolName
+	Share   int
+	Ceiling int
+	// Rate is the mean, in requests a second; Run the mean run time in milliseconds.
+	Rate float64
+	Run  int64
+	// Timeout is the longest time from submission to answer.
+	Timeout time.Duration
 	// id and secret make the team's submit key.
 	id, secret string
 }
 
 // customers returns two large customers with a pool each and four small ones that share two pools.
 // A surge of a large one needs about twice the slots of its pool; one of a small one exceeds its ceiling.
-func customers() []customer {
-	list := []customer{
-		{name: "harbour", pool: "pool-1", share: 4, ceiling: 60, rate: 50, run: 400},
-		{name: "quarry", pool: "pool-2", share: 4, ceiling: 60, rate: 50, run: 400},
-		{name: "bakery", pool: "pool-3", share: 2, ceiling: 24, rate: 12, run: 500},
-		{name: "mill", pool: "pool-3", share: 1, ceiling: 24, rate: 12, run: 500},
-		{name: "forge", pool: "pool-4", share: 1, ceiling: 24, rate: 12, run: 500},
-		{name: "dairy", pool: "pool-4", share: 1, ceiling: 24, rate: 12, run: 500},
-	}
+func customers() []Customer {
+	return withKeys([]Customer{
+		{Name: "harbour", Pool: "pool-1", Share: 4, Ceiling: 60, Rate: 50, Run: 400, Timeout: taskTimeout},
+		{Name: "quarry", Pool: "pool-2", Share: 4, Ceiling: 60, Rate: 50, Run: 400, Timeout: taskTimeout},
+		{Name: "bakery", Pool: "pool-3", Share: 2, Ceiling: 24, Rate: 12, Run: 500, Timeout: taskTimeout},
+		{Name: "mill", Pool: "pool-3", Share: 1, Ceiling: 24, Rate: 12, Run: 500, Timeout: taskTimeout},
+		{Name: "forge", Pool: "pool-4", Share: 1, Ceiling: 24, Rate: 12, Run: 500, Timeout: taskTimeout},
+		{Name: "dairy", Pool: "pool-4", Share: 1, Ceiling: 24, Rate: 12, Run: 500, Timeout: taskTimeout},
+	})
+}
+
+// withKeys gives every customer a new submit key.
+func withKeys(list []Customer) []Customer {
 	for i := range list {
-		list[i].id, list[i].secret = list[i].name+"-submit", rand.Text()+rand.Text()
+		list[i].id, list[i].secret = list[i].Name+"-submit", rand.Text()+rand.Text()
 	}
 	return list
 }
 
-func (c customer) team() fleet.TeamName   { return fleet.TeamName(c.name) }
-func (c customer) queue() fleet.QueueName { return fleet.QueueName(c.name) }
-func (c customer) key() string            { return "yh_" + c.id + "_" + c.secret }
+func (c Customer) team() fleet.TeamName   { return fleet.TeamName(c.Name) }
+func (c Customer) queue() fleet.QueueName { return fleet.QueueName(c.Name) }
+func (c Customer) key() string            { return "yh_" + c.id + "_" + c.secret }
 
-func (c customer) teamSection(ceiling int) fleet.TeamSection {
-	return fleet.TeamSection{Share: c.share, Ceiling: ceiling, Customer: c.name}
+func (c Customer) teamSection(ceiling int) fleet.TeamSection {
+	return fleet.TeamSection{Share: c.Share, Ceiling: ceiling, Customer: c.Name}
 }
 
-func (c customer) keysSection() fleet.KeysSection {
+func (c Customer) keysSection() fleet.KeysSection {
 	salt := make([]byte, 16)
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(salt)
@@ -76,7 +82,7 @@
 }
 
 // document returns the whole document in YAML.
-func document(list []customer) string {
+func document(list []Customer) string {
 	sections := map[string]any{
 		"pool/" + string(spare): fleet.PoolSection{Spare: true, Quarantine: 20, Wave: 1},
 	}
@@ -84,12 +90,12 @@
 		sections["zone/"+string(z)] = zoneSection(fleet.ZoneIn)
 	}
 	for _, c := range list {
-		sections["pool/"+string(c.pool)] = fleet.PoolSection{Min: minAvailable, Quarantine: 20, Wave: 1}
-		sections["team/"+c.name] = c.teamSection(c.ceiling)
-		sections["queue/"+c.name] = fleet.QueueSection{
-			Team: c.team(), Pool: c.pool, Timeout: taskTimeout, Waiting: 1000, Slots: 1, Objective: 99, Within: taskTimeout / 2,
+		sections["pool/"+string(c.Pool)] = fleet.PoolSection{Min: minAvailable, Quarantine: 20, Wave: 1}
+		sections["team/"+c.Name] = c.teamSection(c.Ceiling)
+		sections["queue/"+c.Name] = fleet.QueueSection{
+			Team: c.team(), Pool: c.Pool, Timeout: c.Timeout, Waiting: 1000, Slots: 1, Objective: 99, Within: c.Timeout / 2,
 		}
-		sections["keys/"+c.name] = c.keysSection()
+		sections["keys/"+c.Name] = c.keysSection()
 	}
 	return mustYAML(sections)
 }
@@ -107,24 +113,24 @@
 }
 
 // teams returns the load of the customers at a multiple of their rates.
-func teams(list []customer, factor float64) []load.Team {
+func teams(list []Customer, factor float64) []load.Team {
 	var t []load.Team
 	for _, c := range list {
 		t = append(t, load.Team{
-			Name: c.team(), Queue: c.queue(), Secret: c.key(), Rate: c.rate * factor, Run: c.run, Size: 2048, Body: 512,
-			Once: 0.3, Async: 0.1, Timeout: taskTimeout.Milliseconds(),
+			Name: c.team(), Queue: c.queue(), Secret: c.key(), Rate: c.Rate * factor, Run: c.Run, Size: 2048, Body: 512,
+			Once: 0.3, Async: 0.1, Timeout: c.Timeout.Milliseconds(),
 		})
 	}
 	return t
 }
 
 // firstEdits are the ceilings and budgets of the first document.
-func firstEdits(list []customer, sent, accepted record.Stamp) []record.Edit {
+func firstEdits(list []Customer, sent, accepted record.Stamp) []record.Edit {
 	var e []record.Edit
 	for _, c := range list {
 		e = append(e,
-			record.Edit{Kind: record.EditCeiling, Sent: sent, Time: accepted, Team: c.team(), Count: c.ceiling},
-			record.Edit{Kind: record.EditBudget, Sent: sent, Time: accepted, Pool: c.pool, Count: minAvailable})
+			record.Edit{Kind: record.EditCeiling, Sent: sent, Time: accepted, Team: c.team(), Count: c.Ceiling},
+			record.Edit{Kind: record.EditBudget, Sent: sent, Time: accepted, Pool: c.Pool, Count: minAvailable})
 	}
 	return e
 }
--- a/internal/lab/demo/platform.go
+++ b/internal/lab/demo/platform.go
@@ -27,22 +27,22 @@
 	workers []*port.TCP
 }
 
-// NewPlatform starts store and workers on free loopback ports.
-func NewPlatform() (*Platform, error) {
+// NewPlatform starts the store and a number of workers per zone on free loopback ports.
+func NewPlatform(workersPerZone int) (*Platform, error) {
 	p := &Platform{
 		Workers: map[fleet.InstanceID]*worker.Worker{}, Journal: &record.Log[record.Journal]{},
 		Edits: &record.Log[record.Edit]{}, urls: map[store.Service]string{},
 	}
 	f := newFollower(p.Edits)
 	p.Store = store.New(store.WithLag(rosterLag), store.WithWatch(f.follow))
-	if err := p.open(); err != nil {
+	if err := p.open(workersPerZone); err != nil {
 		p.Close()
 		return nil, err
 	}
 	return p, nil
 }
 
-func (p *Platform) open() error {
+func (p *Platform) open(workersPerZone int) error {
 	for _, v := range store.Services() {
 		l, err := p.Store.Listen(v, "127.0.0.1:0")
 		if err != nil {
--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -44,7 +44,9 @@
 	Key   string
 	Once  bool
 	Async bool
-	Slots int
+	// Urgent work starts before the team's other work.
+	Urgent bool
+	Slots  int
 	// Timeout is the longest time to an answer.
 	Timeout time.Duration
 	Input   []byte
@@ -87,7 +89,7 @@
 		if try > 0 {
 			pause(ctx, retryPause)
 		}
-		c.note(j, record.Call{Event: record.Submitted, Length: int64(len(want)), Digest: digest})
+		c.note(j, record.Call{Event: record.Submitted, Urgent: j.Urgent, Length: int64(len(want)), Digest: digest})
 		o, err := c.submit(ctx, c.endpoint(), j)
 		if err == nil {
 			last = o
@@ -138,6 +140,9 @@
 	if j.Async {
 		r.Header.Set("Prefer", "respond-async")
 	}
+	if j.Urgent {
+		r.Header.Set("Urgent", "?1")
+	}
 	if j.Slots > 0 {
 		r.Header.Set("Slots", strconv.Itoa(j.Slots))
 	}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -32,6 +32,10 @@
 	Timeout int64 `json:"timeout"`
 	// Slots is the number of slots of a task; 0 leaves it to the queue.
 	Slots int `json:"slots,omitempty"`
+	// Urgent is the part of requests that are urgent, from 0 to 1.
+	Urgent float64 `json:"urgent,omitempty"`
+	// Endpoints replaces the endpoints of the settings; one that is listed more than once gets more requests.
+	Endpoints []string `json:"endpoints,omitempty"`
 }
 
 // Settings describe a run.
@@ -69,12 +73,12 @@
 	if err := s.Validate(); err != nil {
 		return Report{}, err
 	}
-	c := NewCaller(s.Endpoints, s.Tries, s.Sink)
-	defer c.Close()
 	meter := newMeter(s.Teams)
 	var g sync.WaitGroup
 	begin := time.Now()
 	for i, t := range s.Teams {
+		c := NewCaller(t.endpoints(s.Endpoints), s.Tries, s.Sink)
+		defer c.Close()
 		r := rand.New(rand.NewPCG(s.Seed, uint64(i)))
 		times := Profile{Rate: t.Rate, Surge: s.Surge, Turn: i, Turns: len(s.Teams)}.Arrivals(s.Length, r)
 		g.Go(func() {
@@ -95,6 +99,13 @@
 	return meter.report(), nil
 }
 
+func (t Team) endpoints(all []string) []string {
+	if len(t.Endpoints) > 0 {
+		return t.Endpoints
+	}
+	return all
+}
+
 func (s Settings) job(t Team, team, n int, r *rand.Rand) Job {
 	id := fmt.Sprintf("%s-%d-%d", s.Prefix, team, n)
 	h := input.Header{Size: t.Size, Seed: r.Uint64()}
@@ -105,9 +116,11 @@
 	for i := range payload {
 		payload[i] = byte(h.Seed >> (8 * (i % 8)))
 	}
-	return Job{
+	j := Job{
 		ID: id, Team: t.Name, Queue: t.Queue, Secret: t.Secret, Key: id, Once: r.Float64() < t.Once,
 		Async: r.Float64() < t.Async, Slots: t.Slots, Timeout: time.Duration(t.Timeout) * time.Millisecond,
 		Input: input.Encode(h, payload),
 	}
+	j.Urgent = t.Urgent > 0 && r.Float64() < t.Urgent
+	return j
 }
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -90,6 +90,8 @@
 	Queue fleet.QueueName `json:"queue,omitempty"`
 	Key   string          `json:"key,omitempty"`
 	Once  bool            `json:"once,omitempty"`
+	// Urgent is set in Submitted.
+	Urgent bool `json:"urgent,omitempty"`
 	// Task is the record id from Task-Id or Location; workers see it as "<id>.<attempt>".
 	Task string      `json:"task,omitempty"`
 	Kind reject.Kind `json:"kind,omitempty"`
