--- a/internal/state/grant/account.go
+++ b/internal/state/grant/account.go
@@ -22,8 +22,6 @@
 	unit     atomic.Int64
 	due      atomic.Bool
 	counted  atomic.Int64 // the count in the record as last known, for Held
-	// contested is set while another entry instance wants more than it holds, as far as the record last told.
-	contested atomic.Bool
 
 	known   bool      // the record has been read since registration
 	want    int       // the want in the record
--- a/internal/state/grant/book.go
+++ b/internal/state/grant/book.go
@@ -137,8 +137,7 @@
 func (b *Book) Release(t fleet.TeamName, slots int) {
 	a := b.account(t)
 	a.release(slots)
-	limit, used := a.load()
-	if limit < int(a.counted.Load()) && used >= limit || used < limit && a.contested.Load() && a.wanted.Load() == 0 {
+	if limit, used := a.load(); limit < int(a.counted.Load()) && used >= limit {
 		b.mark(a)
 	}
 }
--- a/internal/state/grant/plan.go
+++ b/internal/state/grant/plan.go
@@ -114,15 +114,10 @@
 
 // reserve is what an idle holder keeps beyond its use. A ceiling too small for every entry to keep one has none.
 func reserve(s situation) int {
-	if s.ceiling < 2*len(s.members) {
-		return 0
+	if s.ceiling >= 2*len(s.members) {
+		return 1
 	}
-	return 1
-}
-
-// contested reports whether another entry instance wants more than it holds.
-func (r record) contested(self fleet.EntryID) bool {
-	return slices.ContainsFunc(r.Holdings, func(h holding) bool { return h.Entry != self && h.Want > h.Held })
+	return 0
 }
 
 // shortage returns what the other members want and are entitled to beyond what they hold.
--- a/internal/state/grant/round.go
+++ b/internal/state/grant/round.go
@@ -278,7 +278,6 @@
 	h := now.of(self)
 	a.known, a.uncertain, a.want = true, false, h.Want
 	a.counted.Store(int64(h.Held))
-	a.contested.Store(now.contested(self))
 	a.setLimit(min(target, h.Held))
 	if now.total() <= ceiling {
 		a.verified.Store(version)
