--- a/internal/lab/trial/scenario.go
+++ b/internal/lab/trial/scenario.go
@@ -40,7 +40,7 @@
 )
 
 func scenarios() []scenario {
-	moving := customersAt(0.75, 800)
+	moving := customersAt(0.95, 800)
 	return []scenario{
 		{name: full, customers: fullCustomers(), uneven: true, urgent: 0.05, fixed: true},
 		{name: ceiling, customers: ceilingCustomers(), uneven: true, fixed: true},
