--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -59,6 +59,8 @@
 	burn      *burn.Recorder
 	admin     *admin.Server
 	stopping  atomic.Bool
+
+	connections connections
 }
 
 // New listens on the addresses of checked settings and assembles the parts; Run must be called next.
@@ -103,7 +105,8 @@
 
 func (n *Node) assemble() {
 	s := n.settings
-	t, o, l, w := table.NewClient(s.Table), object.NewClient(s.Object), roster.NewClient(s.Roster), worker.NewClient()
+	t, o, w := table.NewClient(s.Table), object.NewClient(s.Object), worker.NewClient()
+	l := roster.NewShared(roster.NewClient(s.Roster))
 	n.peers = peer.NewClient(s.PeerToken, n.peerOptions()...)
 	self := member.NewID(s.Name)
 	n.keeper = view.New(self, t, n.peers, decode, view.WithLog(n.part("view")), view.WithSeeds(n.seeds(l)))
@@ -165,7 +168,7 @@
 }
 
 // seeds returns where to ask for the view when the store is down at the start.
-func (n *Node) seeds(l *roster.Client) func(context.Context) ([]string, error) {
+func (n *Node) seeds(l *roster.Shared) func(context.Context) ([]string, error) {
 	return func(ctx context.Context) ([]string, error) {
 		listings, err := l.List(ctx)
 		var addresses []string
