--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -119,6 +120,9 @@
 	}
 	r.Cost = costSince(before, measureProcesses(d), table, d.Platform.Store.Counters(store.Table), s.Length)
 	journal := d.Platform.Journal.Records()
+	if err := saveJournal(dir, journal); err != nil {
+		return r, err
+	}
 	t.tasks = spans(journal)
 	summary := audit.Run(audit.Input{Journal: journal, Calls: t.calls, Edits: d.Platform.Edits.Records()})
 	r.OverCeiling, r.Doubled = summary.OverCeiling, summary.Doubled
@@ -127,6 +131,18 @@
 	return r, nil
 }
 
+func saveJournal(dir string, journal []record.Journal) error {
+	f, err := os.Create(filepath.Join(dir, "journal.jsonl"))
+	if err != nil {
+		return err
+	}
+	lines := record.NewLines[record.Journal](f)
+	for _, j := range journal {
+		lines.Write(j)
+	}
+	return errors.Join(lines.Err(), f.Close())
+}
+
 // awaitWorkers waits until the pools have every worker.
 func awaitWorkers(ctx context.Context, d *demo.Deployment) error {
 	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
