grant: Let a new entry instance want its part of each ceiling

Cause: the first entry instance to register took whole ceilings, because it was the only member then, and kept them while nobody wanted more. When it was removed and registered again, its former grants stayed out of use for the settle time of 16 s and the others had none to return: a request waited about 19 s (TestRemoved took 21 s in about half of its runs; a trace of the record showed 24 of 24 units with the removed incarnation).

Ruled out: permits, polls and the coordinator; the only holder in the record was the removed one.

Change: for 5 s after its registration an entry instance records its part of the ceiling as a want, whatever its demand, and idle holders return units as for any other want. The limit of 5 s keeps a contested ceiling from being held without demand.

--- a/internal/state/grant/account.go
+++ b/internal/state/grant/account.go
@@ -24,6 +24,8 @@
 	counted  atomic.Int64 // the count in the record as last known, for Held
 
 	known   bool      // the record has been read since registration
+	joined  bool      // the part of the ceiling was held, or waited for long enough
+	asked   time.Time // when the record was first read
 	want    int       // the want in the record
 	seen    uint64    // the version of the team's section at the last round
 	next    time.Time // earliest next reading for a new reason
@@ -86,3 +88,15 @@
 		}
 	}
 }
+
+// isJoining reports whether the entry instance still waits for its part of the ceiling after its registration. It
+// ends after joinTime: where the ceiling is contested, units held without demand would be idle.
+func (a *account) isJoining(held, part int, now time.Time) bool {
+	if a.asked.IsZero() {
+		a.asked = now
+	}
+	if held >= part || now.Sub(a.asked) >= joinTime {
+		a.joined = true
+	}
+	return !a.joined
+}
--- a/internal/state/grant/book.go
+++ b/internal/state/grant/book.go
@@ -31,6 +31,8 @@
 	pollInterval = time.Second
 	// sweepInterval bounds how long a lost nudge delays a movement.
 	sweepInterval = 5 * time.Second
+	// joinTime is how long an entry wants its part of a ceiling after its registration whatever its demand.
+	joinTime = 5 * time.Second
 	// starveAfter is how long an entry waits with no grant at all before it advances the turn.
 	starveAfter = 2 * time.Second
 
--- a/internal/state/grant/plan.go
+++ b/internal/state/grant/plan.go
@@ -64,10 +64,10 @@
 	members []fleet.EntryID // sorted, with self
 	ceiling int
 	record  record
-	used    int // slots of tasks that hold a unit
-	wanted  int // slots that waiting work could use beyond used
-	unit    int // size of the largest waiting task
-	joining bool
+	used    int  // slots of tasks that hold a unit
+	wanted  int  // slots that waiting work could use beyond used
+	unit    int  // size of the largest waiting task
+	joining bool // has not held its part of the ceiling yet
 	leaving bool
 }
 
@@ -80,6 +80,11 @@
 	held := s.record.of(s.self).Held
 	free := s.ceiling - s.record.total()
 	need := min(s.used+s.wanted, s.ceiling)
+	if s.joining {
+		// Idle holders then return a part of what they took when there were fewer members, so that the loss
+		// of one entry instance does not withhold the whole ceiling for the settle time.
+		need = max(need, s.ceiling/len(s.members))
+	}
 	entitled := entitlements(s, min(need+reserve(s), s.ceiling))
 	due := shortage(s, entitled)
 	mine := entitled[slices.Index(s.members, s.self)]
@@ -104,10 +109,10 @@
 func raise(s situation, held, free, need int) int {
 	wish := held
 	if need > held {
-		wish = need + reserve(s)
-	}
-	if s.joining {
-		wish = max(wish, s.ceiling/len(s.members))
+		wish = need
+		if !s.joining {
+			wish += reserve(s)
+		}
 	}
 	return min(wish, held+free)
 }
--- a/internal/state/grant/round.go
+++ b/internal/state/grant/round.go
@@ -82,7 +82,8 @@
 		a := value.(*account)
 		a.setLimit(0)
 		a.counted.Store(0)
-		a.known, a.want, a.uncertain, a.starved = false, 0, false, time.Time{}
+		a.known, a.joined, a.want, a.uncertain = false, false, 0, false
+		a.starved, a.asked = time.Time{}, time.Time{}
 		a.due.Store(true)
 		return true
 	})
@@ -222,11 +223,12 @@
 	s := situation{
 		self: self, ceiling: v.Document().Teams[a.team].Ceiling, used: used,
 		wanted: int(a.wanted.Load()), unit: int(a.unit.Load()),
-		joining: !a.known && old.of(self).Held == 0, leaving: b.leaving.Load(),
+		leaving: b.leaving.Load(),
 	}
 	for _, m := range v.Members() {
 		s.members = append(s.members, m.ID)
 	}
+	s.joining = a.isJoining(old.of(self).Held, s.ceiling/len(s.members), now)
 	s.record = old.without(b.settledHolders(old, s.members, self, now))
 	return s, s.record
 }
