runner, caller: Refuse recorded requests as unknown before their look-up

Cause: an entry instance refused a repeated non-idempotent request with a key as "not run" when its view was stale, it was not registered or it was stopping. An earlier attempt at another entry instance may have run.

Change: refusals that come before the record is looked up say "unknown" for requests that have a record (a key, and non-idempotent or asynchronous). Others still say "not-run".

Conclusion: a refusal says "not run" only if no earlier attempt can have run.

--- a/internal/model/reject/reject.go
+++ b/internal/model/reject/reject.go
@@ -77,6 +77,13 @@
 	return &c
 }
 
+// WithWork returns a copy that says something else of the work.
+func (e *Error) WithWork(w Work) *Error {
+	c := *e
+	c.Work = w
+	return &c
+}
+
 // WithCause returns a copy that wraps a cause; the cause is logged, never sent.
 func (e *Error) WithCause(err error) *Error {
 	c := *e
--- a/internal/serve/caller/submit.go
+++ b/internal/serve/caller/submit.go
@@ -36,33 +36,51 @@
 }
 
 func (a *API) trySubmit(w http.ResponseWriter, q *http.Request, o *Observation) error {
-	if err := a.views.Fresh(); err != nil {
+	j, err := a.readJob(w, q, o)
+	if err != nil {
+		return beforeLookUp(q, err)
+	}
+	if j.Team != "" && wantsAsync(q) {
+		return a.submitAsync(w, q, j, o)
+	}
+	answer, err := a.tasks.Submit(q.Context(), j)
+	if err != nil {
 		return err
 	}
+	a.limitWrite(w)
+	writeAnswer(w, answer)
+	return nil
+}
+
+// readJob authorizes a submission and reads its job.
+func (a *API) readJob(w http.ResponseWriter, q *http.Request, o *Observation) (runner.Job, error) {
+	if err := a.views.Fresh(); err != nil {
+		return runner.Job{}, err
+	}
 	v := a.views.View()
 	queue, team, err := a.authorize(q, v)
 	if err != nil {
-		return err
+		return runner.Job{}, err
 	}
 	o.Team = queue.Team
 	j, err := parseJob(q)
 	if err != nil {
-		return err
+		return j, err
 	}
 	j.Team = team
-	if j.Input, err = a.readBody(w, q, v); err != nil {
-		return err
-	}
-	if team != "" && wantsAsync(q) {
-		return a.submitAsync(w, q, j, o)
-	}
-	answer, err := a.tasks.Submit(q.Context(), j)
-	if err != nil {
-		return err
+	j.Input, err = a.readBody(w, q, v)
+	return j, err
+}
+
+// beforeLookUp is a refusal that came before the record of a request was looked up: for a recorded request, an
+// earlier attempt may have run.
+func beforeLookUp(q *http.Request, err error) error {
+	e := asRejection(err)
+	idempotent, malformed := parseBool(q, "Idempotent", true)
+	if q.Header.Get("Idempotency-Key") == "" || malformed != nil || idempotent && !wantsAsync(q) {
+		return e
 	}
-	a.limitWrite(w)
-	writeAnswer(w, answer)
-	return nil
+	return e.WithWork(reject.WorkUnknown)
 }
 
 func (a *API) submitAsync(w http.ResponseWriter, q *http.Request, j runner.Job, o *Observation) error {
--- a/internal/serve/runner/submit.go
+++ b/internal/serve/runner/submit.go
@@ -53,7 +53,7 @@
 	case ok:
 		return present, nil
 	case r.stopping:
-		return nil, errStopping()
+		return nil, beforeLookUp(true, errStopping())
 	}
 	r.tasks[taskKey{t.team, t.id}] = t
 	return t, nil
@@ -96,32 +96,47 @@
 
 // admit checks a job against the fresh view and returns its task, which is not yet in line.
 func (r *Runner) admit(j Job, async bool) (*task, error) {
+	q, err := r.complete(&j)
+	if err != nil {
+		return nil, beforeLookUp(j.Key != "" && (j.Once || async), err)
+	}
+	return r.newTask(q, j, async), nil
+}
+
+// complete checks a job, returns its queue and fills in what the job leaves to the queue.
+func (r *Runner) complete(j *Job) (fleet.QueueSection, error) {
 	if r.Stopping() {
-		return nil, errStopping()
+		return fleet.QueueSection{}, errStopping()
 	}
 	if err := r.parts.Views.Fresh(); err != nil {
-		return nil, asRejection(err, reject.WorkNotRun)
+		return fleet.QueueSection{}, asRejection(err, reject.WorkNotRun)
 	}
 	v := r.parts.Views.View()
 	if !r.isMember(v) {
-		return nil, reject.New(reject.KindStale, reject.WorkNotRun, "this instance is not registered").
+		return fleet.QueueSection{}, reject.New(reject.KindStale, reject.WorkNotRun, "this instance is not registered").
 			WithRetryAfter(time.Second)
 	}
 	q, ok := v.Document().Queues[j.Queue]
 	if !ok {
-		return nil, reject.New(reject.KindQueue, reject.WorkNotRun, "unknown queue %q", string(j.Queue))
+		return q, reject.New(reject.KindQueue, reject.WorkNotRun, "unknown queue %q", string(j.Queue))
 	}
 	if !q.Open && j.Team != q.Team {
-		return nil, reject.New(reject.KindForbidden, reject.WorkNotRun, "the queue %q belongs to another team", string(j.Queue))
+		return q, reject.New(reject.KindForbidden, reject.WorkNotRun, "the queue %q belongs to another team", string(j.Queue))
 	}
 	if j.Slots == 0 {
 		j.Slots = max(1, q.Slots)
 	}
 	j.Urgent = j.Urgent || q.Urgent
-	if err := checkSize(v, q, j); err != nil {
-		return nil, err
+	return q, checkSize(v, q, *j)
+}
+
+// beforeLookUp is a refusal that came before the record of a request was looked up: for a recorded request, an
+// earlier attempt at another entry instance may have run.
+func beforeLookUp(recorded bool, err error) error {
+	if recorded {
+		return asRejection(err, reject.WorkUnknown)
 	}
-	return r.newTask(q, j, async), nil
+	return asRejection(err, reject.WorkNotRun)
 }
 
 func errStopping() error {
