proof: Add scenarios with real processes

Entry instances run as processes built once per test binary, against stand-ins in the test process. toxiproxy stands before every store port, worker and caller port; between entry instances, where a cut must tell who connects, a proxy of our own names the caller by the first request of a connection.

Ruled out: naming the caller by its socket's inode in /proc/net/tcp. With the race detector on a busy machine these scans took five cores, connections timed out and were opened again, and the run did not end within 10 minutes.

--- a/internal/lab/demo/follow.go
+++ b/internal/lab/demo/follow.go
@@ -28,6 +28,9 @@
 	known map[fleet.InstanceID]placement
 }
 
+// Follow returns a watcher of the store's transactions that writes changes of pool membership as edits.
+func Follow(sink record.Sink[record.Edit]) func(table.Transaction) { return newFollower(sink).follow }
+
 func newFollower(sink record.Sink[record.Edit]) *follower {
 	return &follower{sink: sink, pools: map[fleet.PoolName][]fleet.PoolMember{}, known: map[fleet.InstanceID]placement{}}
 }
--- a/internal/lab/demo/launch.go
+++ b/internal/lab/demo/launch.go
@@ -27,15 +27,17 @@
 	// Table, Object and Roster are base URLs.
 	Table, Object, Roster string
 	PeerToken, AdminToken string
+	// More are further flags.
+	More []string
 }
 
 // Args returns the command line without the program.
 func (e Entry) Args() []string {
-	return []string{
+	return append([]string{
 		"serve", "--name=" + e.Name, "--zone=" + string(e.Zone), "--listen=" + e.Listen, "--peer-listen=" + e.Peer,
 		"--table=" + e.Table, "--object=" + e.Object, "--roster=" + e.Roster,
 		"--peer-token=" + e.PeerToken, "--admin-token=" + e.AdminToken,
-	}
+	}, e.More...)
 }
 
 // URL returns the base URL for callers and operators.
@@ -79,6 +81,12 @@
 	return p, nil
 }
 
+// Signal sends a signal to the process.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
 // Exited reports whether the process has ended, and how.
 func (p *Process) Exited() (bool, error) {
 	select {
--- /dev/null
+++ b/internal/lab/proof/fleet.go
@@ -0,0 +1,276 @@
+// Package proof runs real entry instances against stand-ins, with faults at processes and connections, and checks
+// what workers, callers and operators recorded against the guarantees of the design page.
+package proof
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/demo"
+	"github.com/yuccahaven/yuccahaven/internal/lab/record"
+	"github.com/yuccahaven/yuccahaven/internal/lab/store"
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+)
+
+const (
+	// patience bounds every wait for progress; it is no promise of the design page, only longer than a busy
+	// machine needs.
+	patience   = 60 * time.Second
+	pollPause  = 50 * time.Millisecond
+	peerToken  = "proof-peer-token"
+	adminToken = "proof-admin-token"
+)
+
+// Instance is one entry instance over its restarts.
+type Instance struct {
+	Name    string
+	process *demo.Process
+	dir     string
+	starts  int
+	// callers is the proxy in front of the port for callers and operators.
+	callers *Link
+	stores  map[store.Service]*Link
+	reads   map[store.Service]*reads
+}
+
+// URL returns the base URL for callers and operators.
+func (i *Instance) URL() string { return "http://" + i.callers.Address() }
+
+// Fleet is one deployment.
+type Fleet struct {
+	*platform
+	binary, dir string
+	mesh        *Mesh
+	instances   []*Instance
+	submit      map[fleet.TeamName]key
+	admin       key
+	calls       record.Log[record.Call]
+	watch       *watch
+	logs        []string
+}
+
+// NewFleet starts entry instances and returns once their document is in force and tasks are answered.
+func NewFleet(ctx context.Context, binary, dir string, entries int) (*Fleet, error) {
+	p, err := newPlatform()
+	f := &Fleet{platform: p, binary: binary, dir: dir, mesh: NewMesh(), admin: newKey("root", fleet.RoleAdmin),
+		submit: map[fleet.TeamName]key{blue: newKey("blue", fleet.RoleSubmit), green: newKey("green", fleet.RoleSubmit)}}
+	f.watch = newWatch(f)
+	if err == nil {
+		err = f.start(ctx, entries)
+	}
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, entries int) error {
+	for n := range entries {
+		i, err := f.add(fmt.Sprintf("e%d", n+1))
+		if err != nil {
+			return err
+		}
+		if err := f.Launch(ctx, i); err != nil {
+			return err
+		}
+	}
+	return f.prepare(ctx)
+}
+
+func (f *Fleet) add(name string) (*Instance, error) {
+	i := &Instance{Name: name, stores: map[store.Service]*Link{}, reads: map[store.Service]*reads{}}
+	for _, v := range store.Services() {
+		i.reads[v] = &reads{}
+		l, err := f.serve(v, i.reads[v])
+		if err != nil {
+			return nil, err
+		}
+		i.stores[v] = l
+	}
+	f.instances = append(f.instances, i)
+	return i, nil
+}
+
+// Instance returns the entry instance with a name.
+func (f *Fleet) Instance(name string) *Instance {
+	for _, i := range f.instances {
+		if i.Name == name {
+			return i
+		}
+	}
+	panic("proof: no entry instance " + name)
+}
+
+// Launch starts the next process of an entry instance and waits until it listens.
+func (f *Fleet) Launch(ctx context.Context, i *Instance) error {
+	i.starts++
+	i.dir = filepath.Join(f.dir, fmt.Sprintf("%s.%d", i.Name, i.starts))
+	if err := os.MkdirAll(i.dir, 0o700); err != nil {
+		return err
+	}
+	peers, err := f.mesh.Listen(i.Name)
+	if err != nil {
+		return err
+	}
+	url := func(v store.Service) string { return "http://" + i.stores[v].Address() }
+	e := demo.Entry{Name: i.Name, Zone: "a", Listen: "127.0.0.1:0", Peer: "127.0.0.1:0",
+		Table: url(store.Table), Object: url(store.Object), Roster: url(store.Roster),
+		PeerToken: peerToken, AdminToken: adminToken, More: []string{"--peer-advertise=" + peers, "--log-level=debug"}}
+	if i.process, err = demo.Launch(f.binary, i.dir, e); err != nil {
+		return err
+	}
+	f.store.Put(roster.Listing{ID: fleet.InstanceID(i.Name), Kind: roster.Entry, Address: peers, Zone: "a", State: roster.Live})
+	log := filepath.Join(i.dir, i.Name+".log")
+	f.logs = append(f.logs, log)
+	return f.attach(ctx, i, log)
+}
+
+// serving is the log line of an entry instance that listens.
+type serving struct {
+	Message string `json:"msg"`
+	Address string `json:"address"`
+	Peers   string `json:"peers"`
+}
+
+func (f *Fleet) attach(ctx context.Context, i *Instance, log string) error {
+	var at serving
+	err := until(ctx, func() error {
+		if ended, err := i.process.Exited(); ended {
+			return errors.Join(errEnded, err)
+		}
+		var err error
+		at, err = findServing(log)
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("proof: %s does not listen: %w", i.Name, err)
+	}
+	f.mesh.Attach(i.Name, at.Peers)
+	if i.callers != nil {
+		return i.callers.Move(at.Address)
+	}
+	i.callers, err = NewLink(i.Name, at.Address)
+	return err
+}
+
+func findServing(log string) (serving, error) {
+	file, err := os.Open(log)
+	if err != nil {
+		return serving{}, err
+	}
+	defer func() { _ = file.Close() }()
+	for s := bufio.NewScanner(file); s.Scan(); {
+		var x serving
+		if json.Unmarshal(s.Bytes(), &x) == nil && x.Message == "node: serving" {
+			return x, nil
+		}
+	}
+	return serving{}, errors.New("not yet")
+}
+
+// prepare writes the document and waits until every instance answers tasks of every team.
+func (f *Fleet) prepare(ctx context.Context) error {
+	for _, i := range f.instances {
+		if err := f.AwaitReady(ctx, i); err != nil {
+			return err
+		}
+	}
+	sent := record.Now()
+	if _, err := f.put(ctx, f.instances[0], "/v1/document", f.document(), "*"); err != nil {
+		return err
+	}
+	for _, t := range []fleet.TeamName{blue, green} {
+		f.edits.Write(record.Edit{Kind: record.EditCeiling, Sent: sent, Time: record.Now(), Team: t, Count: ceiling})
+	}
+	f.edits.Write(record.Edit{Kind: record.EditBudget, Sent: sent, Time: record.Now(), Pool: pool, Count: budget})
+	_, version, err := f.read(ctx, f.instances[0], watched)
+	if err != nil {
+		return err
+	}
+	f.watch.track(accepted{Section: watched, Version: version, at: record.Now()})
+	return f.Settle(ctx)
+}
+
+// watched is a section that is read at every instance in every scenario, so that none may go back behind the first
+// document.
+const watched = "pool/" + string(pool)
+
+// Kill ends an instance's process at once.
+func (f *Fleet) Kill(i *Instance) { i.process.Kill() }
+
+// Freeze stops an instance's process; Thaw lets it go on.
+func (f *Fleet) Freeze(i *Instance) error { return i.process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (f *Fleet) Thaw(i *Instance) error { return i.process.Signal(syscall.SIGCONT) }
+
+// Terminate asks an instance to shut down gracefully and waits for its end; a status other than 0 is an error.
+func (f *Fleet) Terminate(ctx context.Context, i *Instance) error {
+	if err := i.process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-i.process.Done():
+	case <-ctx.Done():
+		return fmt.Errorf("proof: %s does not end: %w", i.Name, ctx.Err())
+	}
+	if _, err := i.process.Exited(); err != nil {
+		return fmt.Errorf("proof: %s ended: %w", i.Name, err)
+	}
+	return nil
+}
+
+// running returns the instances whose process has not ended.
+func (f *Fleet) running() []*Instance {
+	var found []*Instance
+	for _, i := range f.instances {
+		if ended, _ := i.process.Exited(); !ended {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	f.watch.stop()
+	for _, i := range f.instances {
+		if i.process != nil {
+			i.process.Kill()
+		}
+		if i.callers != nil {
+			i.callers.Close()
+		}
+		for _, l := range i.stores {
+			l.Close()
+		}
+	}
+	f.mesh.Close()
+	f.close()
+}
+
+var errEnded = errors.New("the process has ended")
+
+// until repeats f until it succeeds, the process behind it has ended or the context ends.
+func until(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil || errors.Is(err, errEnded) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		case <-time.After(pollPause):
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/proof/link.go
@@ -0,0 +1,90 @@
+package proof
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	toxiproxy "github.com/Shopify/toxiproxy"
+	"github.com/sirupsen/logrus"
+)
+
+// silent is the toxic that swallows every byte for as long as it is in place.
+const silent = `{"name":"silent","type":"timeout","attributes":{"timeout":0}}`
+
+func init() {
+	// toxiproxy logs every connection to the process-wide logger.
+	logrus.SetOutput(io.Discard)
+}
+
+// Link is a proxy in front of one server.
+type Link struct{ proxy *toxiproxy.Proxy }
+
+// NewLink starts a proxy on a free port.
+func NewLink(name, upstream string) (*Link, error) {
+	p := toxiproxy.NewProxy()
+	p.Name, p.Listen, p.Upstream = name, "127.0.0.1:0", upstream
+	if err := p.Start(); err != nil {
+		return nil, fmt.Errorf("proof: link %s: %w", name, err)
+	}
+	return &Link{proxy: p}, nil
+}
+
+// Address returns host and port of the proxy; they stay the same while it is cut.
+func (l *Link) Address() string {
+	l.proxy.Lock()
+	defer l.proxy.Unlock()
+	return l.proxy.Listen
+}
+
+// Move gives the proxy another server and breaks the present connections.
+func (l *Link) Move(upstream string) error { return l.update(upstream, true) }
+
+// Cut breaks every connection and refuses new ones until Heal.
+func (l *Link) Cut() error { return l.update("", false) }
+
+// Silence swallows every byte in both directions until Heal, on new connections too.
+func (l *Link) Silence() error {
+	for _, stream := range []string{"upstream", "downstream"} {
+		if err := l.add(strings.Replace(silent, `"silent"`, `"silent-`+stream+`"`, 1), stream); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Delay adds a latency to every reply until Heal.
+func (l *Link) Delay(millis int) error {
+	return l.add(fmt.Sprintf(`{"name":"delay","type":"latency","attributes":{"latency":%d}}`, millis), "downstream")
+}
+
+// Heal removes every fault.
+func (l *Link) Heal() error {
+	l.proxy.Toxics.ResetToxics()
+	return l.update("", true)
+}
+
+// Close ends the proxy.
+func (l *Link) Close() { l.proxy.Stop() }
+
+func (l *Link) add(toxic, stream string) error {
+	toxic = strings.TrimSuffix(toxic, "}") + fmt.Sprintf(`,"stream":%q}`, stream)
+	if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
+		return fmt.Errorf("proof: toxic %s: %w", toxic, err)
+	}
+	return nil
+}
+
+func (l *Link) update(upstream string, enabled bool) error {
+	l.proxy.Lock()
+	next := &toxiproxy.Proxy{Listen: l.proxy.Listen, Upstream: l.proxy.Upstream, Enabled: enabled}
+	l.proxy.Unlock()
+	if upstream != "" {
+		next.Upstream = upstream
+	}
+	if err := l.proxy.Update(next); err != nil && !errors.Is(err, toxiproxy.ErrProxyAlreadyStarted) {
+		return fmt.Errorf("proof: link %s: %w", l.proxy.Name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/proof/platform.go
@@ -0,0 +1,98 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/demo"
+	"github.com/yuccahaven/yuccahaven/internal/lab/port"
+	"github.com/yuccahaven/yuccahaven/internal/lab/record"
+	"github.com/yuccahaven/yuccahaven/internal/lab/store"
+	"github.com/yuccahaven/yuccahaven/internal/lab/worker"
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+)
+
+const workersPerZone = 2
+
+// platform is the stand-ins of one fleet, in this process, each behind a proxy.
+type platform struct {
+	store   *store.Store
+	workers map[fleet.InstanceID]*worker.Worker
+	links   map[fleet.InstanceID]*Link
+	journal record.Log[record.Journal]
+	edits   record.Log[record.Edit]
+	ports   []*port.TCP
+}
+
+func newPlatform() (*platform, error) {
+	p := &platform{workers: map[fleet.InstanceID]*worker.Worker{}, links: map[fleet.InstanceID]*Link{}}
+	p.store = store.New(store.WithWatch(demo.Follow(&p.edits)))
+	for _, z := range zones() {
+		for n := range workersPerZone {
+			if err := p.addWorker(z, n); err != nil {
+				return p, err
+			}
+		}
+	}
+	return p, nil
+}
+
+func (p *platform) addWorker(z fleet.AvailabilityZone, n int) error {
+	l := roster.Listing{ID: fleet.InstanceID(fmt.Sprintf("w-%s%d", z, n)), Zone: z, Rack: fmt.Sprintf("%s%d", z, n)}
+	w := worker.New(l, &p.journal, worker.WithVersion("v1"))
+	t, err := w.Listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.ports = append(p.ports, t)
+	link, err := NewLink(string(l.ID), t.Address())
+	if err != nil {
+		return err
+	}
+	p.workers[l.ID], p.links[l.ID] = w, link
+	listing := w.Listing()
+	listing.Address = link.Address()
+	p.store.Put(listing)
+	return nil
+}
+
+// reads counts what one entry instance asks of a service.
+type reads struct {
+	requests, bytes atomic.Int64
+}
+
+// serve opens a port of its own for one entry instance, so that its use of the store is counted and cut on its own.
+func (p *platform) serve(v store.Service, r *reads) (*Link, error) {
+	h := p.store.Handler(v)
+	t, err := port.Listen("127.0.0.1:0", 0, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.requests.Add(1)
+		h.ServeHTTP(&counted{ResponseWriter: w, reads: r}, q)
+	}))
+	if err != nil {
+		return nil, err
+	}
+	p.ports = append(p.ports, t)
+	return NewLink(string(v), t.Address())
+}
+
+type counted struct {
+	http.ResponseWriter
+	reads *reads
+}
+
+// Write implements http.ResponseWriter.
+func (c *counted) Write(b []byte) (int, error) {
+	c.reads.bytes.Add(int64(len(b)))
+	return c.ResponseWriter.Write(b)
+}
+
+func (p *platform) close() {
+	for _, l := range p.links {
+		l.Close()
+	}
+	for _, t := range p.ports {
+		t.Refuse()
+	}
+}
--- /dev/null
+++ b/internal/lab/proof/proof_test.go
@@ -0,0 +1,60 @@
+package proof_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/demo"
+	"github.com/yuccahaven/yuccahaven/internal/lab/proof"
+)
+
+// binary is the program of the entry instances, built once without the race detector.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "proof")
+	if err == nil {
+		binary, err = demo.Build(context.Background(), dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// parallel is how many scenarios run at once, so that their processes leave some of ten busy cores to the stand-ins.
+const parallel = 8
+
+// TestScenarios guards against a promise of the design page that real processes break under faults of processes,
+// connections and platform.
+func TestScenarios(t *testing.T) {
+	slots := make(chan struct{}, parallel)
+	datadriven.RunTest(t, "testdata/scenarios.txt", func(t *testing.T, d *datadriven.TestData) string {
+		s := proof.ParseScenario(d.CmdArgs[0].Key, d.Input)
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			v, err := s.Run(t.Context(), binary, t.TempDir())
+			if err != nil {
+				t.Error(err)
+			}
+			for _, b := range v.Breaches {
+				t.Error(b)
+			}
+			t.Log(strings.Join(v.Notes, "\n"))
+			t.Logf("%d submitted, %d answered, %d refused, %d unknown", v.Summary.Submitted, v.Summary.Answered, v.Summary.Refused, v.Summary.Unknown)
+		})
+		return ""
+	})
+}
--- /dev/null
+++ b/internal/lab/proof/steps.go
@@ -0,0 +1,92 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/store"
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+// operate carries out a command of operators.
+func (r *run) operate(c command) error {
+	at := r.instances[0]
+	if name, ok := c.options["at"]; ok {
+		at = r.Instance(name)
+	}
+	switch c.verb {
+	case "zone":
+		return r.Zone(r.ctx, at, fleet.AvailabilityZone(c.word(0)), fleet.ZoneState(c.word(1)))
+	case "ceiling":
+		return r.Ceiling(r.ctx, at, fleet.TeamName(c.word(0)), int(c.number("to", ceiling)))
+	case "withdraw":
+		return r.withdraw(at, fleet.TeamName(c.word(0)), c.duration("try", 3*time.Second))
+	case "race":
+		return r.race(r.ctx, [2]*Instance{r.instances[0], r.instances[1]}, blue, int(c.number("rounds", 10)))
+	case "rollout":
+		return r.rollOut(at, c.word(0))
+	}
+	return errors.New("unknown command")
+}
+
+// withdraw removes every key of a team and tries the old one beside the next steps, for some time after the bound.
+func (r *run) withdraw(at *Instance, t fleet.TeamName, try time.Duration) error {
+	a, err := r.putSection(r.ctx, at, "keys/"+string(t), "keys: []\n")
+	if err != nil {
+		return err
+	}
+	r.background(func() error {
+		const bound = 5 * time.Second
+		ctx, cancel := context.WithTimeout(r.ctx, bound+try)
+		defer cancel()
+		if late := r.tryKey(ctx, t, a.at); len(late) > 0 {
+			return fmt.Errorf("proof: withdrawn key: %s", strings.Join(late, "; "))
+		}
+		return nil
+	})
+	return nil
+}
+
+// rollOut gives the pool a system version and waits until every worker runs it.
+func (r *run) rollOut(at *Instance, version string) error {
+	if _, err := r.putSection(r.ctx, at, "pool/"+string(pool), poolText(version)); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, 2*patience)
+	defer cancel()
+	return until(ctx, func() error {
+		for id, w := range r.workers {
+			if v := w.Report().Version; v != version {
+				return fmt.Errorf("worker %s runs version %s", id, v)
+			}
+		}
+		return nil
+	})
+}
+
+// replace shuts an instance down and starts its successor, which begins with nothing. It notes how soon the
+// successor serves and what it reads until then.
+func (r *run) replace(i *Instance) error {
+	if err := r.Terminate(r.ctx, i); err != nil {
+		return err
+	}
+	table := i.reads[store.Table]
+	requests, bytes := table.requests.Load(), table.bytes.Load()
+	began := time.Now()
+	if err := r.Launch(r.ctx, i); err != nil {
+		return err
+	}
+	if err := r.AwaitReady(r.ctx, i); err != nil {
+		return err
+	}
+	ready := time.Since(began)
+	if err := r.answers(r.ctx, i, blue); err != nil {
+		return err
+	}
+	r.notes = append(r.notes, fmt.Sprintf("%s: ready after %d ms, first answer after %d ms, %d table requests, %d bytes",
+		i.Name, ready.Milliseconds(), time.Since(began).Milliseconds(), table.requests.Load()-requests, table.bytes.Load()-bytes))
+	return nil
+}
--- /dev/null
+++ b/internal/lab/proof/verdict.go
@@ -0,0 +1,77 @@
+package proof
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/audit"
+	"github.com/yuccahaven/yuccahaven/internal/lab/record"
+)
+
+// Verdicts that a scenario may allow.
+const (
+	// unknownAnswers allows final answers that leave open whether the work ran.
+	unknownAnswers = "unknown"
+)
+
+// Verdict is what the checks found in a run.
+type Verdict struct {
+	Summary  audit.Summary
+	Breaches []string
+	Notes    []string
+}
+
+func (r *run) verdict(s Scenario) Verdict {
+	v := Verdict{Notes: r.notes}
+	v.Summary = audit.Run(audit.Input{Journal: r.journal.Records(), Calls: r.calls.Records(), Edits: r.edits.Records()})
+	for _, x := range v.Summary.Findings {
+		v.Breaches = append(v.Breaches, fmt.Sprintf("%s: %s record %d: %s", x.Check, x.Source, x.Record, x.Detail)+"\n"+r.trace(x))
+	}
+	if v.Summary.Unknown > 0 && !slices.Contains(s.Allowed, unknownAnswers) {
+		v.Breaches = append(v.Breaches, fmt.Sprintf("%d requests ended without knowledge of their work", v.Summary.Unknown))
+	}
+	if v.Summary.Submitted > 0 && v.Summary.Answered == 0 {
+		v.Breaches = append(v.Breaches, "no request was answered")
+	}
+	r.watch.mu.Lock()
+	v.Breaches = append(v.Breaches, r.watch.breaches...)
+	v.Notes = append(v.Notes, fmt.Sprintf("%d reads of sections, %d without an answer", r.watch.seen, r.watch.blind))
+	r.watch.mu.Unlock()
+	v.Breaches = append(v.Breaches, r.leaks()...)
+	v.Breaches = append(v.Breaches, r.faults()...)
+	return v
+}
+
+// faults returns uses of workers that the platform forbids, such as a reboot while tasks run.
+func (r *run) faults() []string {
+	var found []string
+	for _, j := range r.journal.Records() {
+		if j.Event == record.Fault {
+			found = append(found, fmt.Sprintf("worker %s: %s", j.Instance, j.Detail))
+		}
+	}
+	return found
+}
+
+// leaks returns the logs that hold a secret. The instances log at the level debug.
+func (r *run) leaks() []string {
+	secrets := []string{peerToken, adminToken, r.admin.secret}
+	for _, k := range r.submit {
+		secrets = append(secrets, k.secret)
+	}
+	var found []string
+	for _, file := range r.logs {
+		text, err := os.ReadFile(file)
+		if err != nil || len(text) == 0 {
+			found = append(found, fmt.Sprintf("log %s: %d bytes (%v)", file, len(text), err))
+		}
+		for n, s := range secrets {
+			if bytes.Contains(text, []byte(s)) {
+				found = append(found, fmt.Sprintf("log %s holds secret %d", file, n))
+			}
+		}
+	}
+	return found
+}
