--- /dev/null
+++ b/internal/wire/peer/fuzz_test.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+)
+
+// samples returns one value of every message.
+func samples() []Message {
+	return []Message{
+		&SyncRequest{From: "a.1", Revision: 3}, &SyncReply{From: "a.1", Items: []fleet.Item{{Key: "k", Value: []byte("v")}}},
+		&PushRequest{From: "a.1"}, &PushReply{From: "a.1"}, &NudgeRequest{From: "a.1", Teams: []fleet.TeamName{"t"}}, &NudgeReply{},
+		&PollRequest{From: "a.1", Pool: "p"}, &PollReply{}, &TaskRequest{From: "a.1", Team: "t", Task: "x"}, &TaskReply{},
+		&StatusRequest{From: "a.1"}, &StatusReply{From: "a.1"},
+	}
+}
+
+// Guards against messages of a peer that crash the decoder, and against accepted ones that change when sent on.
+func FuzzMessages(f *testing.F) {
+	all := samples()
+	for n, m := range all {
+		b, err := codec{}.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(n), b)
+	}
+	f.Add(uint8(0), []byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, n uint8, b []byte) {
+		kind := reflect.TypeOf(all[int(n)%len(all)]).Elem()
+		m := reflect.New(kind).Interface()
+		if err := (codec{}).Unmarshal(b, m); err != nil {
+			return
+		}
+		sent, err := codec{}.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := reflect.New(kind).Interface()
+		if err := (codec{}).Unmarshal(sent, again); err != nil {
+			t.Fatalf("%+v is refused when sent on: %v", m, err)
+		}
+		if b, err := (codec{}).Marshal(again); err != nil || string(b) != string(sent) {
+			t.Fatalf("%+v changes to %+v", m, again)
+		}
+	})
+}
