--- a/internal/lab/proof/platform.go
+++ b/internal/lab/proof/platform.go
@@ -1,8 +1,11 @@
 package proof
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/yuccahaven/yuccahaven/internal/lab/demo"
@@ -12,6 +15,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/lab/worker"
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 )
 
 const workersPerZone = 2
@@ -24,11 +28,24 @@
 	journal record.Log[record.Journal]
 	edits   record.Log[record.Edit]
 	ports   []*port.TCP
+	mu      sync.Mutex
+	// written is every value that was written to the table outside of task records.
+	written bytes.Buffer
 }
 
 func newPlatform() (*platform, error) {
 	p := &platform{workers: map[fleet.InstanceID]*worker.Worker{}, links: map[fleet.InstanceID]*Link{}}
-	p.store = store.New(store.WithWatch(demo.Follow(&p.edits)))
+	follow := demo.Follow(&p.edits)
+	p.store = store.New(store.WithWatch(func(t table.Transaction) {
+		follow(t)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, w := range t.Writes {
+			if !strings.HasPrefix(w.Key, "task/") {
+				p.written.Write(w.Value)
+			}
+		}
+	}))
 	for _, z := range zones() {
 		for n := range workersPerZone {
 			if err := p.addWorker(z, n); err != nil {
@@ -88,6 +105,13 @@
 	return c.ResponseWriter.Write(b)
 }
 
+// contents returns every value that was written to the table outside of task records.
+func (p *platform) contents() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return bytes.Clone(p.written.Bytes())
+}
+
 func (p *platform) close() {
 	for _, l := range p.links {
 		l.Close()
--- a/internal/lab/proof/verdict.go
+++ b/internal/lab/proof/verdict.go
@@ -55,13 +55,18 @@
 	return found
 }
 
-// leaks returns the logs that hold a secret. The instances log at the level debug.
+// leaks returns the logs and table values that hold a secret. The instances log at the level debug.
 func (r *run) leaks() []string {
 	secrets := []string{peerToken, adminToken, r.admin.secret}
 	for _, k := range r.submit {
 		secrets = append(secrets, k.secret)
 	}
 	var found []string
+	for n, s := range secrets {
+		if bytes.Contains(r.contents(), []byte(s)) {
+			found = append(found, fmt.Sprintf("the table holds secret %d", n))
+		}
+	}
 	for _, file := range r.logs {
 		text, err := os.ReadFile(file)
 		if err != nil || len(text) == 0 {
