--- a/internal/serve/caller/submit.go
+++ b/internal/serve/caller/submit.go
@@ -36,37 +36,19 @@
 }
 
 func (a *API) trySubmit(w http.ResponseWriter, q *http.Request, o *Observation) error {
-	if err := a.views.Fresh(); err != nil {
-		return err
-	}
-	v := a.views.View()
-	queue, team, err := a.authorize(q, v)
+	j, limit, err := a.admit(q, o)
 	if err != nil {
-		return err
-	}
-	o.Team = queue.Team
-	j, err := parseJob(q)
-	if err != nil {
-		return err
-	}
-	j.Team = team
-	limit := bodyLimit(v)
-	if q.ContentLength > limit {
-		return tooLarge(limit)
-	}
-	// A body of unknown length may become as large as the limit.
-	size := q.ContentLength
-	if size < 0 {
-		size = limit
+		return beforeLookUp(q, err)
 	}
+	size := bodySize(q, limit)
 	if err := a.memory.Hold(size); err != nil {
-		return err
+		return beforeLookUp(q, err)
 	}
 	defer a.memory.Free(size)
 	if j.Input, err = a.readBody(w, q, limit); err != nil {
-		return err
+		return beforeLookUp(q, err)
 	}
-	if team != "" && wantsAsync(q) {
+	if j.Team != "" && wantsAsync(q) {
 		return a.submitAsync(w, q, j, o)
 	}
 	answer, err := a.tasks.Submit(q.Context(), j)
@@ -78,6 +60,48 @@
 	return nil
 }
 
+// admit authorizes a submission and returns its job without the input, and the limit of the body in bytes.
+func (a *API) admit(q *http.Request, o *Observation) (runner.Job, int64, error) {
+	if err := a.views.Fresh(); err != nil {
+		return runner.Job{}, 0, err
+	}
+	v := a.views.View()
+	queue, team, err := a.authorize(q, v)
+	if err != nil {
+		return runner.Job{}, 0, err
+	}
+	o.Team = queue.Team
+	j, err := parseJob(q)
+	if err != nil {
+		return j, 0, err
+	}
+	j.Team = team
+	limit := bodyLimit(v)
+	if q.ContentLength > limit {
+		return j, 0, tooLarge(limit)
+	}
+	return j, limit, nil
+}
+
+// bodySize returns how many bytes a body may take; one of unknown length may become as large as the limit.
+func bodySize(q *http.Request, limit int64) int64 {
+	if q.ContentLength < 0 {
+		return limit
+	}
+	return q.ContentLength
+}
+
+// beforeLookUp is a refusal that came before the record of a request was looked up: for a recorded request, an
+// earlier attempt may have run.
+func beforeLookUp(q *http.Request, err error) error {
+	e := asRejection(err)
+	idempotent, malformed := parseBool(q, "Idempotent", true)
+	if q.Header.Get("Idempotency-Key") == "" || malformed != nil || idempotent && !wantsAsync(q) {
+		return e
+	}
+	return e.WithWork(reject.WorkUnknown)
+}
+
 func (a *API) submitAsync(w http.ResponseWriter, q *http.Request, j runner.Job, o *Observation) error {
 	id, err := a.tasks.SubmitAsync(q.Context(), j)
 	if err != nil {
