rest: Bound the connections that are held open, not those counted by the transport

A trace of both ends showed two effects. http.Transport counts a connection as gone before it closes it, so the client really held up to 11. The worker notices closed connections late: it saw up to 12 while the client held 10.

Change: the dialer waits while the full number of its connections is open, until one has been closed. The test counts at the client, where the bound is kept; the worker's count includes connections that are already closed.

--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -28,6 +28,9 @@
 const (
 	DefaultTimeout     = 2 * time.Second
 	DefaultConnections = 32
+
+	// One fresh connection, one for short calls and one for long polls.
+	minConnections = 3
 )
 
 // transferRate is the slowest accepted transfer of bodies, in bytes per second; it extends a call's timeout.
@@ -50,8 +53,11 @@
 	timeout     time.Duration
 	connections int
 	transport   http.RoundTripper
+	dial        dialer
 }
 
+type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Option changes a setting of a Caller.
 type Option func(*settings)
 
@@ -59,12 +65,19 @@
 func WithTimeout(d time.Duration) Option { return func(s *settings) { s.timeout = d } }
 
 // WithConnections bounds the connections to one address; at least 3.
-func WithConnections(n int) Option { return func(s *settings) { s.connections = max(n, 3) } }
+func WithConnections(n int) Option {
+	return func(s *settings) { s.connections = max(n, minConnections) }
+}
 
 // WithTransport replaces the network. The transport must report GotConn to the context's httptrace.ClientTrace
 // before a request can take effect; a failure without that report counts as not sent.
 func WithTransport(t http.RoundTripper) Option { return func(s *settings) { s.transport = t } }
 
+// WithDial replaces the dialer.
+func WithDial(d func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(s *settings) { s.dial = d }
+}
+
 // NewCaller returns a caller for a base URL such as "http://127.0.0.1:8080".
 func NewCaller(base string, options ...Option) *Caller {
 	s := settings{timeout: DefaultTimeout, connections: DefaultConnections}
@@ -77,17 +90,21 @@
 		base: strings.TrimSuffix(base, "/"), timeout: s.timeout, pooled: s.transport, fresh: s.transport,
 		polls: make(chan struct{}, pooled-1),
 	}
+	if s.dial == nil {
+		// The timeout matters because a dial outlives the request that began it and counts as a connection.
+		s.dial = (&net.Dialer{Timeout: s.timeout}).DialContext
+	}
 	if s.transport == nil {
-		c.pooled = transport(s.timeout, pooled, false)
-		c.fresh = transport(s.timeout, fresh, true)
+		dial := bounded(s.dial, s.connections)
+		c.pooled = transport(dial, pooled, false)
+		c.fresh = transport(dial, fresh, true)
 	}
 	return c
 }
 
-func transport(timeout time.Duration, connections int, once bool) *http.Transport {
+func transport(dial dialer, connections int, once bool) *http.Transport {
 	return &http.Transport{
-		// The dial timeout matters because a dial outlives the request that began it and counts as a connection.
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     30 * time.Second,
--- a/internal/plat/worker/client_test.go
+++ b/internal/plat/worker/client_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,12 +95,38 @@
 	}
 }
 
+// openConns counts the connections that a client holds open. The worker can't: it notices a closed connection late.
+type openConns struct {
+	now, peak atomic.Int64
+}
+
+func (o *openConns) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	for n, peak := o.now.Add(1), o.peak.Load(); n > peak && !o.peak.CompareAndSwap(peak, n); peak = o.peak.Load() {
+	}
+	return &countedConn{Conn: c, closed: sync.OnceFunc(func() { o.now.Add(-1) })}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c *countedConn) Close() error {
+	defer c.closed()
+	return c.Conn.Close()
+}
+
 // Guards against one entry instance taking more than its part of a worker's connections, and against short calls
 // that wait behind long polls.
 func TestConnectionsAreBounded(t *testing.T) {
 	const tasks = 3 * worker.DefaultConnections
 	w, p := serve(t, tasks)
-	c := worker.NewClient(rest.WithTimeout(patient))
+	var open openConns
+	c := worker.NewClient(rest.WithTimeout(patient), rest.WithDial(open.dial))
 	for i := range tasks {
 		begin(t, c, p.Address(), fleet.TaskID(fmt.Sprintf("a%d.1", i)), input.Header{Run: patient.Milliseconds()})
 	}
@@ -120,8 +148,8 @@
 		}
 	}
 	g.Wait()
-	if p.Peak() > worker.DefaultConnections {
-		t.Errorf("%d connections at once, want at most %d", p.Peak(), worker.DefaultConnections)
+	if n := open.peak.Load(); n > worker.DefaultConnections {
+		t.Errorf("%d connections at once, want at most %d (the worker saw %d)", n, worker.DefaultConnections, p.Peak())
 	}
 	if r := w.Report(); r.Used != 0 {
 		t.Errorf("%d slots used after every task was stopped", r.Used)
