load: Record every submission of a request with an idempotency key

Cause (from net/http's source; the repetition itself was not traced): the transport repeats a request with the header Idempotency-Key by itself when its connection breaks. The caller's records then lack a submission, and the audit takes a start for a contradiction of the refusal.

Trace (restart-without-store): one recorded submission of an idempotent request, a start and end at a worker, then "stale, not-run" 0.3 s later.

Ruled out: nothing else; the fault in refusals that was fixed before concerns non-idempotent requests only.

Change: the request has no GetBody, so the transport can't send its body again.

--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -131,6 +131,9 @@
 	if err != nil {
 		return reply{}, err
 	}
+	// Without GetBody the transport can't repeat a request with an idempotency key by itself after its connection
+	// broke; every submission must be in the records.
+	r.GetBody = nil
 	setHeader(r, "Idempotency-Key", j.Key)
 	if j.Once {
 		r.Header.Set("Idempotent", "?0")
