--- a/internal/serve/caller/submit.go
+++ b/internal/serve/caller/submit.go
@@ -36,10 +36,18 @@
 }
 
 func (a *API) trySubmit(w http.ResponseWriter, q *http.Request, o *Observation) error {
-	j, err := a.readJob(w, q, o)
+	j, limit, err := a.admit(q, o)
 	if err != nil {
 		return beforeLookUp(q, err)
 	}
+	size := bodySize(q, limit)
+	if err := a.memory.Hold(size); err != nil {
+		return beforeLookUp(q, err)
+	}
+	defer a.memory.Free(size)
+	if j.Input, err = a.readBody(w, q, limit); err != nil {
+		return beforeLookUp(q, err)
+	}
 	if j.Team != "" && wantsAsync(q) {
 		return a.submitAsync(w, q, j, o)
 	}
@@ -52,24 +60,35 @@
 	return nil
 }
 
-// readJob authorizes a submission and reads its job.
-func (a *API) readJob(w http.ResponseWriter, q *http.Request, o *Observation) (runner.Job, error) {
+// admit authorizes a submission and returns its job without the input, and the limit of the body in bytes.
+func (a *API) admit(q *http.Request, o *Observation) (runner.Job, int64, error) {
 	if err := a.views.Fresh(); err != nil {
-		return runner.Job{}, err
+		return runner.Job{}, 0, err
 	}
 	v := a.views.View()
 	queue, team, err := a.authorize(q, v)
 	if err != nil {
-		return runner.Job{}, err
+		return runner.Job{}, 0, err
 	}
 	o.Team = queue.Team
 	j, err := parseJob(q)
 	if err != nil {
-		return j, err
+		return j, 0, err
 	}
 	j.Team = team
-	j.Input, err = a.readBody(w, q, v)
-	return j, err
+	limit := bodyLimit(v)
+	if q.ContentLength > limit {
+		return j, 0, tooLarge(limit)
+	}
+	return j, limit, nil
+}
+
+// bodySize returns how many bytes a body may take; one of unknown length may become as large as the limit.
+func bodySize(q *http.Request, limit int64) int64 {
+	if q.ContentLength < 0 {
+		return limit
+	}
+	return q.ContentLength
 }
 
 // beforeLookUp is a refusal that came before the record of a request was looked up: for a recorded request, an
@@ -118,16 +137,17 @@
 	return queue, team, nil
 }
 
-// readBody reads the whole body within the document's limit and the body timeout. The read deadline is removed
-// afterwards, because the server watches the connection for the caller's departure.
-func (a *API) readBody(w http.ResponseWriter, q *http.Request, v fleet.View) ([]byte, error) {
-	limit := v.Document().Limits.Body
-	if limit <= 0 {
-		limit = defaultBody
-	}
-	if q.ContentLength > limit {
-		return nil, tooLarge(limit)
+// bodyLimit returns the size of the largest body that the document allows.
+func bodyLimit(v fleet.View) int64 {
+	if limit := v.Document().Limits.Body; limit > 0 {
+		return limit
 	}
+	return defaultBody
+}
+
+// readBody reads the whole body within the limit and the body timeout. The read deadline is removed
+// afterwards, because the server watches the connection for the caller's departure.
+func (a *API) readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, error) {
 	c := http.NewResponseController(w)
 	// Writers of tests don't support deadlines.
 	_ = c.SetReadDeadline(time.Now().Add(a.bodyTimeout))
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -17,11 +17,13 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/plan/upkeep"
 	"github.com/yuccahaven/yuccahaven/internal/plat/object"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
+	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/sched/alloc"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
@@ -50,17 +52,20 @@
 	registrar *member.Registrar
 	book      *grant.Book
 	ledger    *claim.Ledger
+	memory    *admit.Memory
 	runner    *runner.Runner
 	scheduler *scheduler
 	watch     *watch
 	reach     *reach
 	upkeep    *upkeep.Planner
 	follower  *upkeep.Follower
+	spares    *spare.Planner
 	burn      *burn.Recorder
 	admin     *admin.Server
 	stopping  atomic.Bool
 
 	connections connections
+	decoding    decoding
 }
 
 // New listens on the addresses of checked settings and assembles the parts; Run must be called next.
@@ -109,16 +114,19 @@
 	l := roster.NewShared(roster.NewClient(s.Roster))
 	n.peers = peer.NewClient(s.PeerToken, n.peerOptions()...)
 	self := member.NewID(s.Name)
-	n.keeper = view.New(self, t, n.peers, decode, view.WithLog(n.part("view")), view.WithSeeds(n.seeds(l)))
+	n.keeper = view.New(self, t, n.peers, decode, view.WithLog(n.part("view")), view.WithSeeds(n.seeds(l)),
+		view.WithGone(func(id fleet.EntryID) bool { return n.registrar.Gone(id) }))
 	n.registrar = member.New(s.Name, n.member(self), n.keeper, l, member.WithLog(n.part("member")),
 		member.WithRemoved(n.removed))
 	n.book = grant.New(self, n.keeper, t, n.peers, grant.WithLog(n.part("grant")), grant.WithMetrics(n.registry))
 	n.ledger = claim.New(func() fleet.EntryID { return n.registrar.Self().ID }, t, o, claim.WithLog(n.part("claim")),
 		claim.WithMetrics(n.registry))
+	n.memory = admit.NewMemory(s.bodyMemory)
 	n.watch = &watch{roster: l, log: n.part("roster")}
 	n.reach = &reach{views: n.keeper, prober: w, leads: n.leads}
 	n.runner = runner.New(runner.Parts{Views: n.keeper, Workers: w, Grants: n.book, Records: n.ledger, Objects: o,
-		Members: n.registrar, Roster: n.watch, Owners: owners{n.peers}, Log: n.part("runner"), Metrics: n.registry})
+		Members: n.registrar, Roster: n.watch, Owners: owners{n.peers}, Log: n.part("runner"), Metrics: n.registry,
+		Memory: n.memory})
 	n.scheduler = &scheduler{views: n.keeper, prober: w, source: n.runner, peers: n.peers}
 	n.runner.Attach(n.scheduler)
 	n.upkeep = upkeep.New(upkeep.Options{Keeper: n.keeper, Prober: w, Platform: l, Leads: n.leads, Failed: n.reach.failed,
@@ -127,6 +135,8 @@
 		Leads: func() bool { return n.leads(fleetDuty) }, Failed: n.reach.failed, Log: n.part("upkeep")})
 	n.burn = burn.NewRecorder()
 	n.admin = n.operators()
+	n.spares = spare.New(spare.Options{Keeper: n.keeper, Loads: n.admin.Loads,
+		Leads: func() bool { return n.leads(fleetDuty) }, Failed: n.reach.failed, Policy: s.spares, Log: n.part("spare")})
 }
 
 // fleetDuty is the name by which the entry instance is chosen for duties that concern no single pool. No pool has
@@ -232,7 +242,7 @@
 func (n *Node) start(ctx context.Context, parts *sync.WaitGroup) {
 	n.scheduler.restart(ctx, n.registrar.Self().ID)
 	for _, run := range []func(context.Context){n.keeper.Run, n.registrar.Run, n.book.Run, n.ledger.Run, n.runner.Run,
-		n.watch.run, n.reach.run, n.upkeep.Run, n.follower.Run, n.sweepRecords, n.servePeers} {
+		n.watch.run, n.reach.run, n.upkeep.Run, n.follower.Run, n.spares.Run, n.sweepRecords, n.servePeers} {
 		parts.Go(func() { run(ctx) })
 	}
 }
--- a/internal/serve/node/operators.go
+++ b/internal/serve/node/operators.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/burn"
 	"github.com/yuccahaven/yuccahaven/internal/serve/caller"
@@ -61,7 +62,8 @@
 func (n *Node) EntryStatus() admin.EntryStatus {
 	v := n.keeper.View()
 	load := n.runner.Load()
-	s := admin.EntryStatus{Entry: n.registrar.Self().ID, Revision: v.Revision(), Fresh: n.keeper.Fresh() == nil}
+	s := admin.EntryStatus{Entry: n.registrar.Self().ID, Revision: v.Revision(), Fresh: n.keeper.Fresh() == nil,
+		Findings: n.decoding.findings(v)}
 	for _, t := range slices.Sorted(maps.Keys(v.Document().Teams)) {
 		s.Teams = append(s.Teams, admin.TeamLoad{Team: t, Running: load.Running[t], Waiting: load.Waiting[t],
 			Granted: n.book.Held(t)})
@@ -69,6 +71,9 @@
 	for _, z := range slices.Sorted(maps.Keys(load.Zones)) {
 		s.Zones = append(s.Zones, admin.ZoneLoad{Zone: z, Running: load.Zones[z]})
 	}
+	for _, p := range slices.Sorted(maps.Keys(load.Pools)) {
+		s.Pools = append(s.Pools, spare.Load{Pool: p, Running: load.Pools[p].Running, Waiting: load.Pools[p].Waiting})
+	}
 	s.Steps = n.scheduler.returns(v)
 	return s
 }
--- a/internal/state/grant/plan.go
+++ b/internal/state/grant/plan.go
@@ -64,10 +64,10 @@
 	members []fleet.EntryID // sorted, with self
 	ceiling int
 	record  record
-	used    int // slots of tasks that hold a unit
-	wanted  int // slots that waiting work could use beyond used
-	unit    int // size of the largest waiting task
-	joining bool
+	used    int  // slots of tasks that hold a unit
+	wanted  int  // slots that waiting work could use beyond used
+	unit    int  // size of the largest waiting task
+	joining bool // has not held its part of the ceiling yet
 	leaving bool
 }
 
@@ -80,6 +80,11 @@
 	held := s.record.of(s.self).Held
 	free := s.ceiling - s.record.total()
 	need := min(s.used+s.wanted, s.ceiling)
+	if s.joining {
+		// Idle holders then return a part of what they took when there were fewer members, so that the loss
+		// of one entry instance does not withhold the whole ceiling for the settle time.
+		need = max(need, s.ceiling/len(s.members))
+	}
 	entitled := entitlements(s, min(need+reserve(s), s.ceiling))
 	due := shortage(s, entitled)
 	mine := entitled[slices.Index(s.members, s.self)]
@@ -104,10 +109,10 @@
 func raise(s situation, held, free, need int) int {
 	wish := held
 	if need > held {
-		wish = need + reserve(s)
-	}
-	if s.joining {
-		wish = max(wish, s.ceiling/len(s.members))
+		wish = need
+		if !s.joining {
+			wish += reserve(s)
+		}
 	}
 	return min(wish, held+free)
 }
@@ -166,21 +171,31 @@
 
 type claim struct{ demand, unit int }
 
-// divide gives the claims equal parts of a pot up to their demands, one unit at a time beginning at the
-// claim that has the turn.
+// divide gives the claims parts of a pot in proportion to their demands, one unit at a time, first to the claim that
+// has the turn. Equal parts would leave the entries with little demand without a queue, and units that they hold idle
+// until they have moved.
 func divide(pot, turn int, claims []claim) []int {
 	parts := make([]int, len(claims))
-	for given := true; given; {
-		given = false
+	for {
+		best := -1
 		for n := range claims {
 			i := (n + turn) % len(claims)
-			step := min(claims[i].unit, claims[i].demand-parts[i])
-			if step > 0 && step <= pot {
-				parts[i] += step
-				pot -= step
-				given = true
+			step := claims[i].step(parts[i])
+			if step <= 0 || step > pot {
+				continue
+			}
+			if best < 0 || parts[i]*claims[best].demand < parts[best]*claims[i].demand {
+				best = i
 			}
 		}
+		if best < 0 {
+			return parts
+		}
+		step := claims[best].step(parts[best])
+		parts[best] += step
+		pot -= step
 	}
-	return parts
 }
+
+// step returns what the claim gets next beyond its part.
+func (c claim) step(part int) int { return min(c.unit, c.demand-part) }
