pace: Repeat functions at intervals in one place, without tickers

Ruled out: access from outside a bubble, which the runtime reports by name. Not proved: that this was the cause; the crash is too rare to reproduce.

Change: pace.Every and pace.After with the same phases as a ticker, and a new timer for each wait.

--- a/internal/plan/spare/planner.go
+++ b/internal/plan/spare/planner.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
 )
 
@@ -54,16 +55,7 @@
 
 // Run plans moves until the context ends.
 func (p *Planner) Run(ctx context.Context) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			p.pass(ctx)
-		}
-	}
+	pace.After(ctx, interval, p.pass)
 }
 
 // pass does nothing, and forgets what it has observed, while this entry instance does not lead or has no fresh view.
--- a/internal/plan/upkeep/follow.go
+++ b/internal/plan/upkeep/follow.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 )
@@ -50,18 +51,11 @@
 
 // Run follows the roster until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	t := time.NewTicker(listInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if f.Leads() && f.Keeper.Fresh() == nil {
-				f.pass(ctx)
-			}
+	pace.After(ctx, listInterval, func(ctx context.Context) {
+		if f.Leads() && f.Keeper.Fresh() == nil {
+			f.pass(ctx)
 		}
-	}
+	})
 }
 
 func (f *Follower) pass(ctx context.Context) {
--- a/internal/plan/upkeep/planner.go
+++ b/internal/plan/upkeep/planner.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/plan/budget"
 	"github.com/yuccahaven/yuccahaven/internal/plat/worker"
@@ -74,16 +75,7 @@
 
 // Run maintains pools until the context ends.
 func (p *Planner) Run(ctx context.Context) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			p.pass(ctx)
-		}
-	}
+	pace.After(ctx, interval, p.pass)
 }
 
 // pass does what is due in every pool. Without a fresh view nothing is done, because the view may show an instance
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -11,12 +11,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/plan/spare"
 	"github.com/yuccahaven/yuccahaven/internal/plan/upkeep"
 	"github.com/yuccahaven/yuccahaven/internal/plat/object"
@@ -249,20 +249,13 @@
 
 // sweepRecords deletes old task records; those of entry instances that are gone fall to the first in rank.
 func (n *Node) sweepRecords(ctx context.Context) {
-	t := time.NewTicker(claim.SweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		live := func(id fleet.EntryID) bool { _, ok := n.keeper.View().Member(id); return ok }
-		responsible := func(fleet.EntryID) bool { return n.leads(fleetDuty) }
+	live := func(id fleet.EntryID) bool { _, ok := n.keeper.View().Member(id); return ok }
+	responsible := func(fleet.EntryID) bool { return n.leads(fleetDuty) }
+	pace.After(ctx, claim.SweepInterval, func(ctx context.Context) {
 		if err := n.ledger.Sweep(ctx, live, responsible); err != nil {
 			n.log.Warn("claim: old records not deleted", zap.Error(err))
 		}
-	}
+	})
 }
 
 func (n *Node) servePeers(ctx context.Context) {
--- a/internal/serve/node/reach.go
+++ b/internal/serve/node/reach.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/sched/alloc"
 	"github.com/yuccahaven/yuccahaven/internal/state/view"
 )
@@ -33,16 +34,7 @@
 }
 
 func (r *reach) run(ctx context.Context) {
-	t := time.NewTicker(reachInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.probe(ctx)
-		}
-	}
+	pace.After(ctx, reachInterval, r.probe)
 }
 
 func (r *reach) probe(ctx context.Context) {
--- a/internal/serve/node/watch.go
+++ b/internal/serve/node/watch.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 )
 
@@ -30,16 +31,7 @@
 }
 
 func (w *watch) run(ctx context.Context) {
-	t := time.NewTicker(rosterInterval)
-	defer t.Stop()
-	for {
-		w.look(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	pace.Every(ctx, rosterInterval, nil, w.look)
 }
 
 func (w *watch) look(ctx context.Context) {
--- a/internal/serve/runner/runner.go
+++ b/internal/serve/runner/runner.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/plat/object"
 	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
@@ -101,21 +102,8 @@
 // Run renews leases, refuses waiting work under a stale view and adopts orphaned tasks until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	var all sync.WaitGroup
-	all.Go(func() { every(ctx, renewInterval, r.renewAll) })
-	all.Go(func() { every(ctx, sweepInterval, r.sweep) })
-	all.Go(func() { every(ctx, adoptInterval, r.adoptAll) })
+	all.Go(func() { pace.After(ctx, renewInterval, r.renewAll) })
+	all.Go(func() { pace.After(ctx, sweepInterval, r.sweep) })
+	all.Go(func() { pace.After(ctx, adoptInterval, r.adoptAll) })
 	all.Wait()
 }
-
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f(ctx)
-		}
-	}
-}
--- a/internal/state/member/registrar.go
+++ b/internal/state/member/registrar.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/plat/roster"
 	"github.com/yuccahaven/yuccahaven/internal/state/view"
@@ -123,24 +124,12 @@
 func (r *Registrar) Run(ctx context.Context) {
 	var g sync.WaitGroup
 	g.Go(func() { r.stayRegistered(ctx) })
-	g.Go(func() { every(ctx, probeInterval, r.probe) })
-	g.Go(func() { every(ctx, rosterInterval, r.readRoster) })
-	g.Go(func() { every(ctx, removeInterval, r.removeLost) })
+	g.Go(func() { pace.Every(ctx, probeInterval, nil, r.probe) })
+	g.Go(func() { pace.Every(ctx, rosterInterval, nil, r.readRoster) })
+	g.Go(func() { pace.Every(ctx, removeInterval, nil, r.removeLost) })
 	g.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for ctx.Err() == nil {
-		f(ctx)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-		}
-	}
-}
-
 func (r *Registrar) stayRegistered(ctx context.Context) {
 	for ctx.Err() == nil && !r.leaving.Load() {
 		if err := r.register(ctx); err != nil {
--- a/internal/state/view/keeper.go
+++ b/internal/state/view/keeper.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
@@ -163,24 +164,11 @@
 // Run follows the store and the peers until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	var g sync.WaitGroup
-	g.Go(func() { every(ctx, storeInterval, k.wakeStore, k.followStore) })
-	g.Go(func() { every(ctx, storeInterval, k.wakePeers, k.followPeers) })
+	g.Go(func() { pace.Every(ctx, storeInterval, k.wakeStore, k.followStore) })
+	g.Go(func() { pace.Every(ctx, storeInterval, k.wakePeers, k.followPeers) })
 	g.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, wake <-chan struct{}, f func(context.Context)) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for ctx.Err() == nil {
-		f(ctx)
-		select {
-		case <-t.C:
-		case <-wake:
-		case <-ctx.Done():
-		}
-	}
-}
-
 func wake(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
