client: Don't deny work that an earlier try may have run

Cause: the client returned the refusal of its last try. If an earlier try of the same call ended without an answer, a last refusal that says not-run was untrue. The HTTP transport added tries of its own: it repeats a request with an Idempotency-Key when a used connection breaks.

Change: after a try whose outcome is open, a refusal says unknown; requests are sent without GetBody, so that the transport repeats none.

Result: TestNotRunAfterBrokenConnection fails without the change.

--- a/answer.go
+++ b/answer.go
@@ -27,6 +27,12 @@
 	if err != nil {
 		return answer{}, fmt.Errorf("yuccahaven: %w", err)
 	}
+	// Without GetBody the transport does not repeat a request with an Idempotency-Key by itself when its connection
+	// breaks: an attempt that the client does not know of could make a later "not-run" untrue.
+	q.GetBody = nil
+	if len(body) == 0 && method == http.MethodPost {
+		q.Body, q.ContentLength = io.NopCloser(bytes.NewReader(nil)), 0
+	}
 	for name, values := range header {
 		q.Header[name] = values
 	}
--- a/client.go
+++ b/client.go
@@ -127,9 +127,10 @@
 
 // retry calls f for one endpoint after another while the error allows another try.
 func (c *Client) retry(ctx context.Context, repeatable bool, f func(base string) error) error {
-	pause := c.pause
+	pause, doubt := c.pause, false
 	for try := 1; ; try++ {
-		err := f(c.bases[c.next.Add(1)%uint64(len(c.bases))])
+		err := withDoubt(f(c.bases[c.next.Add(1)%uint64(len(c.bases))]), doubt)
+		doubt = doubt || !isNotRun(err)
 		if err == nil || try >= c.tries || !mayRetry(err, repeatable) {
 			return err
 		}
--- a/client_test.go
+++ b/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -48,6 +49,48 @@
 	}
 }
 
+// Guards against a refusal that denies work which an earlier try may have run, and against tries that the transport
+// makes on its own on a connection that breaks.
+func TestNotRunAfterBrokenConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		tries int
+		input []byte
+		work  yuccahaven.Work
+	}{
+		{"refused at once", 1, nil, yuccahaven.WorkNotRun},
+		{"refused after a broken connection", 2, nil, yuccahaven.WorkUnknown},
+		{"the same with an input", 2, []byte("rope"), yuccahaven.WorkUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			calls, breaks := 0, c.tries-1
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				if q.Method == http.MethodGet {
+					return
+				}
+				if calls++; calls <= breaks {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Content-Type", "application/problem+json")
+				w.WriteHeader(http.StatusUnauthorized)
+				_, _ = w.Write([]byte(`{"kind":"key","work":"not-run"}`))
+			}))
+			defer s.Close()
+			client, err := yuccahaven.NewClient([]string{s.URL}, yuccahaven.WithTries(c.tries), yuccahaven.WithPause(time.Nanosecond))
+			if err != nil {
+				t.Fatal(err)
+			}
+			// A connection that is used again is one on which the transport would repeat the request.
+			_, _ = client.Poll(context.Background(), "t", 0)
+			_, err = client.Submit(context.Background(), yuccahaven.Job{Queue: "q", Key: "k", Input: c.input})
+			var e *yuccahaven.Error
+			if !errors.As(err, &e) || e.Work != c.work || calls != c.tries {
+				t.Fatalf("%v after %d calls, want work %s after %d", err, calls, c.work, c.tries)
+			}
+		})
+	}
+}
+
 // Guards against taking a damaged answer for the whole one.
 func TestDamagedAnswer(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/errors.go
+++ b/errors.go
@@ -72,6 +72,23 @@
 	return repeatable
 }
 
+// isNotRun reports whether an error says that the work was not run.
+func isNotRun(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Work == WorkNotRun
+}
+
+// withDoubt returns a refusal that does not deny work which an earlier try of the same call may have run.
+func withDoubt(err error, doubt bool) error {
+	var e *Error
+	if !doubt || !isNotRun(err) || !errors.As(err, &e) {
+		return err
+	}
+	c := *e
+	c.Work = WorkUnknown
+	return &c
+}
+
 func retryAfter(err error) time.Duration {
 	var e *Error
 	if errors.As(err, &e) {
