runner: Look again for a task of this instance whose input could not be read

Cause (found by reading): an asynchronous task whose acceptance was written without a reply is looked for by its owner. If its input could not be read at that moment, the owner forgot it, and no other entry instance adopts a task whose owner is a member.

Change: it is looked for again unless the input is absent.

Result: testdata/unsettled.txt fails without the change.

--- a/internal/serve/runner/adopt.go
+++ b/internal/serve/runner/adopt.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
+	"github.com/yuccahaven/yuccahaven/internal/plat/object"
 	"github.com/yuccahaven/yuccahaven/internal/state/claim"
 )
 
@@ -97,6 +99,9 @@
 		var err error
 		if input, err = r.parts.Objects.Get(ctx, c.Input); err != nil {
 			r.log.Info("input of an orphaned task not read", idField(c.ID), errField(err))
+			if !errors.Is(err, object.ErrAbsent) {
+				r.lookAgain(unsettled{taskKey{c.Team, c.ID}, time.Now()})
+			}
 			return
 		}
 	}
--- a/internal/serve/runner/script_test.go
+++ b/internal/serve/runner/script_test.go
@@ -249,6 +249,10 @@
 			w.stale = on
 		case "down":
 			w.down = on
+		case "lost":
+			w.lost = on
+		case "blind":
+			w.blind = on
 		case "hold":
 			w.hold = on
 		case "leaving":
--- a/internal/serve/runner/world_test.go
+++ b/internal/serve/runner/world_test.go
@@ -24,6 +24,8 @@
 	view    fleet.View
 	stale   bool
 	down    bool // the store
+	lost    bool // the replies to claims, after they took effect
+	blind   bool // the object store can't be read
 	reads   int  // of records
 	members map[fleet.EntryID]bool
 	leaving map[fleet.InstanceID]bool
@@ -213,7 +215,10 @@
 	if old, ok := w.records[string(r.Team)+r.ID]; ok {
 		return old, claim.ErrExists
 	}
-	return w.putLocked(r), nil
+	if written := w.putLocked(r); !w.lost {
+		return written, nil
+	}
+	return r, claim.ErrUnknown
 }
 
 func (w *world) putLocked(r claim.Record) claim.Record {
@@ -281,11 +286,11 @@
 }
 
 func (w *world) Get(_ context.Context, name string) ([]byte, error) {
-	if w.isDown() {
-		return nil, object.ErrUnavailable
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.down || w.blind {
+		return nil, object.ErrUnavailable
+	}
 	if b, ok := w.objects[name]; ok {
 		return b, nil
 	}
