--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -234,7 +234,7 @@
 }
 
 func (n *Node) seed(ctx context.Context) {
-	if err := seed(ctx, n.keeper, n.settings.Document); err != nil && ctx.Err() == nil {
+	if err := seed(ctx, n.keeper, n.settings.Document, n.log); err != nil && ctx.Err() == nil {
 		n.log.Error("node: document not written", zap.Error(err))
 	}
 }
--- a/internal/serve/node/seed.go
+++ b/internal/serve/node/seed.go
@@ -11,6 +11,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
 	"github.com/yuccahaven/yuccahaven/internal/model/spec"
 	"github.com/yuccahaven/yuccahaven/internal/state/view"
+	"go.uber.org/zap"
 )
 
 // errFindings wraps the findings of a document.
@@ -38,12 +39,12 @@
 }
 
 // seed writes a document to an empty table; a table with sections is left as it is.
-func seed(ctx context.Context, k *view.Keeper, file string) error {
+func seed(ctx context.Context, k *view.Keeper, file string, log *zap.Logger) error {
 	d, sections, err := loadSections(file)
 	if err != nil {
 		return err
 	}
-	for {
+	for last := ""; ; {
 		if err := k.Await(ctx); err != nil {
 			return err
 		}
@@ -56,6 +57,10 @@
 		if err == nil || len(k.View().Sections()) > 0 || ctx.Err() != nil {
 			return err
 		}
+		if err.Error() != last {
+			last = err.Error()
+			log.Warn("node: document not written, trying again", zap.Error(err))
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(seedPause):
