--- a/client_test.go
+++ b/client_test.go
@@ -63,12 +63,13 @@
 		{"the same with an input", 2, []byte("rope"), yuccahaven.WorkUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			calls, breaks := 0, c.tries-1
+			var calls atomic.Int64
+			breaks := int64(c.tries - 1)
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 				if q.Method == http.MethodGet {
 					return
 				}
-				if calls++; calls <= breaks {
+				if calls.Add(1) <= breaks {
 					panic(http.ErrAbortHandler)
 				}
 				w.Header().Set("Content-Type", "application/problem+json")
@@ -84,8 +85,8 @@
 			_, _ = client.Poll(context.Background(), "t", 0)
 			_, err = client.Submit(context.Background(), yuccahaven.Job{Queue: "q", Key: "k", Input: c.input})
 			var e *yuccahaven.Error
-			if !errors.As(err, &e) || e.Work != c.work || calls != c.tries {
-				t.Fatalf("%v after %d calls, want work %s after %d", err, calls, c.work, c.tries)
+			if !errors.As(err, &e) || e.Work != c.work || calls.Load() != int64(c.tries) {
+				t.Fatalf("%v after %d calls, want work %s after %d", err, calls.Load(), c.work, c.tries)
 			}
 		})
 	}
