--- a/internal/sched/place/fit.go
+++ b/internal/sched/place/fit.go
@@ -16,6 +16,12 @@
 // Fits reports whether some worker of the pool, in whatever state, has enough slots for a task.
 // A pool without workers fits everything, because nothing is known of the workers it will get.
 func (f *Fit) Fits(v fleet.View, p fleet.PoolName, slots int) bool {
+	l := f.Largest(v, p)
+	return l == 0 || slots <= l
+}
+
+// Largest returns the slots of the pool's largest worker, 0 without workers.
+func (f *Fit) Largest(v fleet.View, p fleet.PoolName) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.largest == nil || f.revision != v.Revision() {
@@ -26,7 +32,7 @@
 		l = largest(v.Pool(p))
 		f.largest[p] = l
 	}
-	return l == 0 || slots <= l
+	return l
 }
 
 func largest(members []fleet.PoolMember) int {
--- a/internal/serve/runner/runner.go
+++ b/internal/serve/runner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/plat/object"
 	"github.com/yuccahaven/yuccahaven/internal/sched/admit"
+	"github.com/yuccahaven/yuccahaven/internal/sched/place"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -41,6 +42,7 @@
 	stats *stats
 	boots *bootCache
 	zones *zoneClock
+	fit   place.Fit
 
 	retries *admit.Budget
 
--- a/internal/serve/runner/submit.go
+++ b/internal/serve/runner/submit.go
@@ -130,7 +130,7 @@
 		j.Slots = max(1, q.Slots)
 	}
 	j.Urgent = j.Urgent || q.Urgent
-	return q, checkSize(v, q, *j)
+	return q, r.checkSize(v, q, *j)
 }
 
 // beforeLookUp is a refusal that came before the record of a request was looked up: for a recorded request, an
@@ -180,15 +180,10 @@
 }
 
 // checkSize rejects a job that no worker of its pool, or not the team's ceiling, could ever hold.
-func checkSize(v fleet.View, q fleet.QueueSection, j Job) error {
-	largest := 0
-	members := v.Pool(q.Pool)
-	for _, m := range members {
-		largest = max(largest, m.Slots)
-	}
-	if len(members) > 0 && j.Slots > largest {
+func (r *Runner) checkSize(v fleet.View, q fleet.QueueSection, j Job) error {
+	if !r.fit.Fits(v, q.Pool, j.Slots) {
 		return reject.New(reject.KindImpossible, reject.WorkNotRun,
-			"the job needs %d slots, the largest worker of pool %s has %d", j.Slots, q.Pool, largest)
+			"the job needs %d slots, the largest worker of pool %s has %d", j.Slots, q.Pool, r.fit.Largest(v, q.Pool))
 	}
 	if c := v.Document().Teams[q.Team].Ceiling; j.Slots > c {
 		return reject.New(reject.KindImpossible, reject.WorkNotRun,
