gate: Answer unknown when an earlier try of a refused job is open

Cause: after a first try without an answer, a later answer "no such queue" or "can never run" was passed on as a refusal that says the job has not run, although the first try may still store it. Found by reading. Ruled out: the holder's own answer is true for the try that it answers; only the gate knows of the earlier one. Change: seek reports whether an earlier try is open; Submit then answers "not known" (504).

--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -184,24 +184,27 @@
 
 // Submit hands a job in.
 func (g *Gate) Submit(ctx context.Context, p Pass, j work.Job) error {
-	reply, err := seek(ctx, g, peer.MethodSubmit, peer.SubmitRequest{Job: j, Version: p.Version}, g.master.Submit)
-	if err != nil {
+	reply, open, err := seek(ctx, g, peer.MethodSubmit, peer.SubmitRequest{Job: j, Version: p.Version}, g.master.Submit)
+	switch {
+	case err != nil:
 		return err
-	}
-	switch reply.Verdict {
-	case peer.Never:
+	case reply.Verdict == peer.Taken:
+		return nil
+	case open:
+		// An earlier try may still store the job, whatever the holder says of this one.
+		g.log.Warn("gate: refused after a try of unknown outcome", zap.String("job", string(j.ID)),
+			zap.String("verdict", string(reply.Verdict)))
+	case reply.Verdict == peer.Never:
 		return reject.New(reject.KindImpossible, reject.WorkNotRun, "the job can never run")
-	case peer.NoQueue:
+	case reply.Verdict == peer.NoQueue:
 		return reject.New(reject.KindQueue, reject.WorkNotRun, "no such queue")
-	case peer.Taken:
-		return nil
 	}
 	return reject.New(reject.KindUnconfirmed, reject.WorkUnknown, "not known whether the job is stored")
 }
 
 // State returns the state of a job.
 func (g *Gate) State(ctx context.Context, id work.JobID) (work.State, error) {
-	reply, err := seek(ctx, g, peer.MethodJob, peer.JobRequest{ID: id}, g.master.Job)
+	reply, _, err := seek(ctx, g, peer.MethodJob, peer.JobRequest{ID: id}, g.master.Job)
 	if err != nil {
 		return "", err
 	}
@@ -213,7 +216,7 @@
 
 // Cancel ends a job.
 func (g *Gate) Cancel(ctx context.Context, id work.JobID) error {
-	reply, err := seek(ctx, g, peer.MethodJob, peer.JobRequest{ID: id, Cancel: true}, g.master.Job)
+	reply, _, err := seek(ctx, g, peer.MethodJob, peer.JobRequest{ID: id, Cancel: true}, g.master.Job)
 	if err != nil {
 		return err
 	}
@@ -228,7 +231,7 @@
 
 // Waiting counts the jobs of a queue of which no task has started.
 func (g *Gate) Waiting(ctx context.Context, p Pass) (int, error) {
-	reply, err := seek(ctx, g, peer.MethodWaiting, peer.WaitingRequest{Queue: p.Queue.Name},
+	reply, _, err := seek(ctx, g, peer.MethodWaiting, peer.WaitingRequest{Queue: p.Queue.Name},
 		func(_ context.Context, q peer.WaitingRequest) peer.WaitingReply { return g.master.Waiting(q.Queue) })
 	return reply.Count, err
 }
@@ -240,9 +243,10 @@
 }
 
 // seek brings a request to the holder of the seat. A request that never reached a holder is refused as not run after a
-// short while; one that may have reached it is repeated, which is safe, until the caller's deadline.
+// short while; one that may have reached it is repeated, which is safe, until the caller's deadline. It also reports
+// whether the outcome of a try before the one that was answered is open.
 func seek[Q peer.Message, A answer](ctx context.Context, g *Gate, m peer.Method[Q, A], q Q,
-	local func(context.Context, Q) A) (A, error) {
+	local func(context.Context, Q) A) (A, bool, error) {
 	began := time.Now()
 	sent := false
 	var last error
@@ -253,20 +257,20 @@
 		case err == nil && reply.Outcome() == peer.Open:
 			sent = true
 		case err == nil && reply.Outcome() != peer.Elsewhere:
-			return reply, nil
+			return reply, sent, nil
 		case err != nil:
 			last = err
 		}
 		var none A
 		if !sent && time.Since(began) >= seekFor {
 			g.log.Info("gate: refused, no holder of the seat", zap.Any("request", subject(q)), zap.Error(last))
-			return none, reject.New(reject.KindStale, reject.WorkNotRun, "no instance can take this now").
+			return none, false, reject.New(reject.KindStale, reject.WorkNotRun, "no instance can take this now").
 				WithRetryAfter(comeBack)
 		}
 		if ctx.Err() != nil || sent && near(ctx) {
 			g.log.Warn("gate: outcome unknown", zap.Any("request", subject(q)), zap.Duration("took", time.Since(began)),
 				zap.Error(last))
-			return none, reject.New(reject.KindUnconfirmed, reject.WorkUnknown, "no answer in time")
+			return none, true, reject.New(reject.KindUnconfirmed, reject.WorkUnknown, "no answer in time")
 		}
 		pause := time.NewTimer(seekPause)
 		select {
