demo: Say how a process ended that a signal can't reach

The error now holds the exit state and the end of the process's log, so that the next failure can be traced.

--- a/internal/lab/demo/launch.go
+++ b/internal/lab/demo/launch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -57,17 +58,19 @@
 type Process struct {
 	Entry Entry
 	cmd   *exec.Cmd
+	log   string
 	done  chan struct{}
 	err   error
 }
 
 // Launch starts an entry instance whose output goes to a file in a directory.
 func Launch(binary, dir string, e Entry) (*Process, error) {
-	out, err := os.Create(filepath.Join(dir, e.Name+".log"))
+	path := filepath.Join(dir, e.Name+".log")
+	out, err := os.Create(path)
 	if err != nil {
 		return nil, fmt.Errorf("demo: %w", err)
 	}
-	p := &Process{Entry: e, cmd: exec.Command(binary, e.Args()...), done: make(chan struct{})}
+	p := &Process{Entry: e, cmd: exec.Command(binary, e.Args()...), log: path, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
 		_ = out.Close()
@@ -84,8 +87,31 @@
 // PID returns the process id.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
-// Signal sends a signal to the process.
-func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+// Signal sends a signal to the process; for one that has ended the error says how it ended and what it wrote last.
+func (p *Process) Signal(s os.Signal) error {
+	err := p.cmd.Process.Signal(s)
+	if !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	<-p.done
+	tail, readErr := lastLines(p.log, lastWords)
+	if readErr != nil {
+		return fmt.Errorf("%w: %v; its log: %v", err, p.cmd.ProcessState, readErr)
+	}
+	return fmt.Errorf("%w: %v; its log ends: %s", err, p.cmd.ProcessState, tail)
+}
+
+// lastWords is how many bytes of a log go into an error; a few lines.
+const lastWords = 2000
+
+// lastLines returns the end of a file.
+func lastLines(path string, size int) (string, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	return string(b[max(0, len(b)-size):]), nil
+}
 
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
