waves: Report a wave as completed when its machines are back, wherever they move then

Cause: a machine that had its maintenance and then moved to another pool counted as down, and any errand of a machine of the wave kept it open. Change: waves.Ledger tells the phase of each machine; one that was seen again after its maintenance stays over.

--- /dev/null
+++ b/internal/plan/waves/ledger.go
@@ -0,0 +1,71 @@
+package waves
+
+// Phase is where a machine of a wave stands.
+type Phase int
+
+// The phases of a machine.
+const (
+	// Left: its maintenance has not been begun.
+	Left Phase = iota
+	// Elsewhere: something else is done to it first.
+	Elsewhere
+	// Down: it is away or being emptied for its maintenance.
+	Down
+	// Over: it is back, gone for good or can't be taken.
+	Over
+)
+
+// Sighting is what is seen of a machine.
+type Sighting struct {
+	Name string
+	// Listed machines exist; Up ones are neither moving nor under maintenance nor down.
+	Listed, Up bool
+	// Taken means that it is away or being emptied for this wave, Moving that it is so for something else.
+	Taken, Moving bool
+}
+
+// Ledger is what became of the machines of one wave.
+type Ledger struct {
+	// Done are the machines whose maintenance has been begun.
+	Done map[string]bool `json:"done"`
+	// back are those of them that were seen again afterwards, and refused those that can't be taken. A new holder of the
+	// ledger learns both anew.
+	back, refused map[string]bool
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{Done: map[string]bool{}} }
+
+// Begin notes that the maintenance of a machine has been begun.
+func (l *Ledger) Begin(name string) { l.Done[name] = true }
+
+// Refuse notes that a machine can't be taken.
+func (l *Ledger) Refuse(name string) { l.refused = with(l.refused, name) }
+
+func with(m map[string]bool, name string) map[string]bool {
+	if m == nil {
+		m = map[string]bool{}
+	}
+	m[name] = true
+	return m
+}
+
+// Phase says where a machine stands. One that is back stays so, whatever is done to it later.
+func (l *Ledger) Phase(s Sighting) Phase {
+	switch {
+	case s.Taken:
+		return Down
+	case l.Done[s.Name] && (s.Up || s.Moving):
+		l.back = with(l.back, s.Name)
+		return Over
+	case l.Done[s.Name] && s.Listed && !l.back[s.Name]:
+		return Down
+	case l.Done[s.Name] || l.refused[s.Name]:
+		return Over
+	case s.Moving:
+		return Elsewhere
+	case !s.Listed:
+		return Over
+	}
+	return Left
+}
--- a/internal/serve/master/moves.go
+++ b/internal/serve/master/moves.go
@@ -241,7 +241,7 @@
 			s.board.Ended(work.WorkerID(e.worker))
 		}
 		if w := m.waves[e.wave]; w != nil && e.wave != 0 {
-			w.Done[e.machine] = true
+			w.Begin(e.machine)
 		}
 	case Busy:
 		m.busyUntil[e.machine] = time.Now().Add(busyPause)
@@ -254,7 +254,7 @@
 			m.barred[e.machine] = append(m.barred[e.machine], e.pool)
 		}
 		if w := m.waves[e.wave]; w != nil && e.wave != 0 {
-			w.refused[e.machine] = true
+			w.Refuse(e.machine)
 		}
 		m.drop(e)
 	}
--- a/internal/serve/master/waves.go
+++ b/internal/serve/master/waves.go
@@ -22,11 +22,10 @@
 
 // waveState is the progress of one wave.
 type waveState struct {
-	Done map[string]bool `json:"done"`
+	*waves.Ledger
 	// Began is when the wave was first seen, in milliseconds since 1970.
 	Began     int64 `json:"began"`
 	Completed bool  `json:"completed"`
-	refused   map[string]bool
 	reporting bool
 	reported  bool
 }
@@ -51,7 +50,7 @@
 			continue
 		}
 		n, err := strconv.ParseInt(strings.TrimPrefix(i.Key, prefixWave), 10, 64)
-		w := &waveState{refused: map[string]bool{}}
+		w := &waveState{Ledger: &waves.Ledger{}}
 		if err == nil {
 			err = json.Unmarshal(i.Value, w)
 		}
@@ -68,7 +67,7 @@
 	for number, w := range now.Waves {
 		state, ok := m.waves[number]
 		if !ok {
-			state = &waveState{Done: map[string]bool{}, Began: time.Now().UnixMilli(), refused: map[string]bool{}}
+			state = &waveState{Ledger: waves.NewLedger(), Began: time.Now().UnixMilli()}
 			m.waves[number] = state
 		}
 		if state.Completed {
@@ -80,22 +79,22 @@
 
 func (m *mover) planWave(ctx context.Context, w rules.Wave, state *waveState) {
 	var left []Machine
-	down := 0
+	down, elsewhere := 0, 0
 	for _, name := range w.Machines {
 		x, ok := m.machines[name]
 		e := m.errands[name]
-		switch {
-		case e != nil && e.wave == w.Number:
-			down++
-		case e != nil:
-		case ok && state.Done[name] && !x.Up:
-			down++
-		case !ok || state.Done[name] || state.refused[name]:
-		default:
+		switch state.Phase(waves.Sighting{Name: name, Listed: ok, Up: x.Up, Taken: e != nil && e.wave == w.Number,
+			Moving: e != nil && e.wave != w.Number}) {
+		case waves.Left:
 			left = append(left, x)
+		case waves.Elsewhere:
+			elsewhere++
+		case waves.Down:
+			down++
+		case waves.Over:
 		}
 	}
-	if len(left) == 0 && down == 0 && !m.pending(w) {
+	if len(left)+down+elsewhere == 0 {
 		m.report(ctx, w.Number, state, true)
 		return
 	}
@@ -134,16 +133,6 @@
 	return born > 0 && time.Since(time.UnixMilli(born)) >= time.Since(m.began)+quiet+quietMargin
 }
 
-// pending reports whether machines of a wave are still on their way elsewhere.
-func (m *mover) pending(w rules.Wave) bool {
-	for _, name := range w.Machines {
-		if m.errands[name] != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // effort orders machines for maintenance: those that are off or empty first, those with lasting tasks last.
 func (m *mover) effort(x Machine) int {
 	r := m.session.board.Resident(work.WorkerID(x.Worker))
