board: Let lasting tasks leave held workers together where there is room

Ruled out: the availability budgets, which hold per step as before; tasks that end, which take 2 to 4 s. Change: as many are on their way as other workers have room for; workers and runs are visited in order, so that the choice is the same on every run.

--- a/internal/model/work/job.go
+++ b/internal/model/work/job.go
@@ -3,6 +3,7 @@
 package work
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -98,6 +99,11 @@
 // String returns "job.round.step.index", as in logs.
 func (t TaskID) String() string { return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index) }
 
+// Compare orders tasks by job, round, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Round, o.Round), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // State is what callers see of a job.
 type State string
 
--- a/internal/sched/board/fleet.go
+++ b/internal/sched/board/fleet.go
@@ -1,6 +1,9 @@
 package board
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -206,11 +209,16 @@
 
 // relieve ends what can't finish on leaving workers and the lasting tasks on held ones, so that they go on elsewhere.
 func (b *Board) relieve(now time.Time) {
+	var list []*worker
 	for _, w := range b.workers {
-		if !w.Leaving && !w.held || w.ended {
-			continue
+		if (w.Leaving || w.held) && !w.ended {
+			list = append(list, w)
 		}
-		for _, r := range w.runs {
+	}
+	// The order decides which tasks leave first; it is the same on every run.
+	slices.SortFunc(list, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
+	for _, w := range list {
+		for _, r := range slices.SortedFunc(maps.Values(w.runs), func(x, y *run) int { return x.key.Task.Compare(y.key.Task) }) {
 			if r.bundle == nil || r.stop {
 				continue
 			}
@@ -235,38 +243,33 @@
 // settled is how long a lasting task stays where it is before it may be moved again.
 const settled = 3 * time.Second
 
-// vacates reports whether a lasting task may leave a held worker: no other of its pool is on its way or waits, so that
-// two tasks don't leave for the same room.
+// vacates reports whether a lasting task may leave a held worker: more workers have room for it than lasting tasks of
+// its pool are on their way or wait, so that two tasks don't leave for the same room.
 func (b *Board) vacates(r *run, now time.Time) bool {
 	if now.Sub(r.began) < settled {
 		return false
 	}
+	leaving := 0
+	for s := range b.pool(r.worker.Pool).ready {
+		if s.spec.Lasting {
+			leaving += s.waiting
+		}
+	}
+	rooms := 0
 	for _, w := range b.workers {
 		if w.Pool != r.worker.Pool {
 			continue
 		}
 		for _, o := range w.runs {
 			if o.bundle != nil && o.bundle.spec.Lasting && (o.stop || o.phase != active) {
-				return false
+				leaving++
 			}
 		}
-	}
-	for s := range b.pool(r.worker.Pool).ready {
-		if s.spec.Lasting && s.waiting > 0 {
-			return false
-		}
-	}
-	return b.elsewhere(r.bundle, r.worker, now)
-}
-
-// elsewhere reports whether another worker has room for one more task of a step.
-func (b *Board) elsewhere(s *bundle, from *worker, now time.Time) bool {
-	for _, w := range b.workers {
-		if w != from && w.Pool == from.Pool && !w.held && b.usable(w, now) && b.room(s, w) {
-			return true
+		if w != r.worker && !w.held && b.usable(w, now) && b.room(r.bundle, w) {
+			rooms++
 		}
 	}
-	return false
+	return rooms > leaving
 }
 
 // leavePatience is how much longer than announced a leaving worker is trusted to go on.
