board: Order waiting tasks by customers' weights when not all can be done in time

Cause: weights were not used; a customer that floods a pool was served by the age of its jobs. Change: where a pool can't do by their due times what runs and waits, the steps of customers beyond their share by weight go after those of the others. Test: testdata/share fails without the change.

--- a/internal/sched/board/plan.go
+++ b/internal/sched/board/plan.go
@@ -40,8 +40,8 @@
 		slices.SortFunc(list, func(a, c *worker) int { return cmp.Compare(a.ID, c.ID) })
 	}
 	var orders []Order
-	for _, s := range b.queueing(p, now) {
-		able := workers
+	for _, e := range b.queueing(p, now) {
+		s, able := e.s, workers
 		if b.queueOf(s.job).Advised {
 			if a, ok := b.ask(s, workers, now); ok {
 				orders = append(orders, a)
@@ -67,7 +67,15 @@
 // rank orders the steps that wait for one pool; the lower one goes first.
 type rank struct {
 	class, priority int
-	latest          time.Time
+	// beyond means that the customer has its share of the pool without the step.
+	beyond bool
+	latest time.Time
+}
+
+// entry is a step with waiting tasks and its rank.
+type entry struct {
+	s *bundle
+	r rank
 }
 
 const (
@@ -77,11 +85,7 @@
 )
 
 // queueing returns the steps with waiting tasks that may be placed, the first to go first.
-func (b *Board) queueing(p *pool, now time.Time) []*bundle {
-	type entry struct {
-		s *bundle
-		r rank
-	}
+func (b *Board) queueing(p *pool, now time.Time) []entry {
 	var list []entry
 	for s := range p.ready {
 		if s.waiting == 0 || s.job.state.Final() {
@@ -93,19 +97,32 @@
 		}
 		list = append(list, entry{s, b.rank(s, now)})
 	}
-	slices.SortFunc(list, func(x, y entry) int {
-		return cmp.Or(cmp.Compare(x.r.class, y.r.class), cmp.Compare(x.r.priority, y.r.priority),
-			x.r.latest.Compare(y.r.latest), cmp.Compare(x.s.job.ID, y.s.job.ID), cmp.Compare(x.s.step, y.s.step))
-	})
-	ordered := make([]*bundle, len(list))
-	for i, e := range list {
-		ordered[i] = e.s
+	slices.SortFunc(list, entry.compare)
+	b.markBeyond(p, list, now)
+	slices.SortFunc(list, entry.compare)
+	return list
+}
+
+// compare orders steps by class, priority, share and time; it never returns 0 for two steps.
+func (e entry) compare(o entry) int {
+	return cmp.Or(cmp.Compare(e.r.class, o.r.class), cmp.Compare(e.r.priority, o.r.priority), follows(e.r.beyond, o.r.beyond),
+		e.r.latest.Compare(o.r.latest), cmp.Compare(e.s.job.ID, o.s.job.ID), cmp.Compare(e.s.round, o.s.round),
+		cmp.Compare(e.s.step, o.s.step))
+}
+
+// follows puts false before true.
+func follows(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
 	}
-	return ordered
+	return -1
 }
 
 // rank puts lasting tasks first, then jobs that can still meet their objective by the latest moment at which their
-// rest must start, then the others by their age.
+// rest must start, then the others by their age. In each class customers within their share of a full pool go first.
 func (b *Board) rank(s *bundle, now time.Time) rank {
 	r := rank{priority: b.queueOf(s.job).Priority}
 	if s.spec.Lasting {
--- a/internal/sched/board/script_test.go
+++ b/internal/sched/board/script_test.go
@@ -179,7 +179,8 @@
 			s.config.Queues = append(s.config.Queues, work.Queue{Name: m["name"], Pool: m["pool"],
 				Attempts: int(s.number(m["attempts"])), Stretch: 1, Objective: s.span(m["objective"]), Advised: advised(m)})
 		case "customer":
-			s.config.Customers[m["name"]] = work.Customer{Name: m["name"], Cap: s.need(m)}
+			s.config.Customers[m["name"]] = work.Customer{Name: m["name"], Cap: s.need(m),
+				Weight: float64(s.number(m["weight"]))}
 		}
 	}
 	s.board.Configure(work.NewConfig(s.config))
