board: Let the queue's priority come before timeliness

Cause: a late job of an urgent queue waited behind a job of a less urgent queue of the same pool that could still meet its objective, although priority 0 comes first. Test: testdata/priority fails without the change.

--- a/internal/sched/board/plan.go
+++ b/internal/sched/board/plan.go
@@ -66,7 +66,7 @@
 
 // rank orders the steps that wait for one pool; the lower one goes first.
 type rank struct {
-	class, priority int
+	priority, class int
 	// beyond means that the customer has its share of the pool without the step.
 	beyond bool
 	latest time.Time
@@ -103,9 +103,9 @@
 	return list
 }
 
-// compare orders steps by class, priority, share and time; it never returns 0 for two steps.
+// compare orders steps by priority, class, share and time; it never returns 0 for two steps.
 func (e entry) compare(o entry) int {
-	return cmp.Or(cmp.Compare(e.r.class, o.r.class), cmp.Compare(e.r.priority, o.r.priority), follows(e.r.beyond, o.r.beyond),
+	return cmp.Or(cmp.Compare(e.r.priority, o.r.priority), cmp.Compare(e.r.class, o.r.class), follows(e.r.beyond, o.r.beyond),
 		e.r.latest.Compare(o.r.latest), cmp.Compare(e.s.job.ID, o.s.job.ID), cmp.Compare(e.s.round, o.s.round),
 		cmp.Compare(e.s.step, o.s.step))
 }
@@ -121,8 +121,9 @@
 	return -1
 }
 
-// rank puts lasting tasks first, then jobs that can still meet their objective by the latest moment at which their
-// rest must start, then the others by their age. In each class customers within their share of a full pool go first.
+// rank puts the queue's priority first. Within one priority lasting tasks go first, then jobs that can still meet their
+// objective by the latest moment at which their rest must start, then the others by their age. In each class customers
+// within their share of a full pool go first.
 func (b *Board) rank(s *bundle, now time.Time) rank {
 	r := rank{priority: b.queueOf(s.job).Priority}
 	if s.spec.Lasting {
--- a/internal/sched/board/script_test.go
+++ b/internal/sched/board/script_test.go
@@ -177,7 +177,8 @@
 		switch kind {
 		case "queue":
 			s.config.Queues = append(s.config.Queues, work.Queue{Name: m["name"], Pool: m["pool"],
-				Attempts: int(s.number(m["attempts"])), Stretch: 1, Objective: s.span(m["objective"]), Advised: advised(m)})
+				Attempts: int(s.number(m["attempts"])), Stretch: 1, Objective: s.span(m["objective"]),
+				Priority: int(s.number(m["priority"])), Advised: advised(m)})
 		case "customer":
 			s.config.Customers[m["name"]] = work.Customer{Name: m["name"], Cap: s.need(m),
 				Weight: float64(s.number(m["weight"]))}
