board: Put new jobs first into a transaction, then ended ones, then progress

Cause: the rows of a transaction were taken in no order. When the store takes 250 ms for one, more rows change than fit, and a new job stayed out of several transactions in a row until its caller's deadline passed (504, outcome unknown). Ruled out: transactions side by side; a late one could overwrite newer rows.

--- a/internal/sched/board/record.go
+++ b/internal/sched/board/record.go
@@ -1,7 +1,10 @@
 package board
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -130,15 +133,15 @@
 			c.used[id] = false
 		}
 	}
-	for id, j := range b.dirty {
+	for _, j := range b.unsaved() {
 		if full() {
 			break
 		}
 		if err := b.encode(j, add, &c); err != nil {
 			return c, err
 		}
-		c.jobs[id] = j.version
-		c.states[id] = j.state
+		c.jobs[j.ID] = j.version
+		c.states[j.ID] = j.state
 	}
 	for len(b.gone) > 0 && !full() {
 		c.Writes = append(c.Writes, table.Write{Key: PrefixJob + string(b.gone[0]), Delete: true})
@@ -154,6 +157,23 @@
 	return c, nil
 }
 
+// unsaved returns the jobs that are to be stored: new ones first, as their callers wait for the answer, then those that
+// have ended, then progress. A slow store takes fewer than there are.
+func (b *Board) unsaved() []*job {
+	urgency := func(j *job) int {
+		switch {
+		case !j.stored:
+			return 0
+		case j.state.Final():
+			return 1
+		}
+		return 2
+	}
+	return slices.SortedFunc(maps.Values(b.dirty), func(x, y *job) int {
+		return cmp.Or(cmp.Compare(urgency(x), urgency(y)), cmp.Compare(x.Accepted, y.Accepted), cmp.Compare(x.ID, y.ID))
+	})
+}
+
 func (b *Board) encode(j *job, add func(string, any) error, c *Batch) error {
 	key := string(j.ID)
 	if j.state.Final() {
