board: Drop a run before its end is judged

Cause: a run that ended done was still in its task's list while the task was finished, so that the log said of each run "is to end: another copy is done". No stop was sent, as the run was dropped right after; one line of log a task is saved. Seen with the explain command.

--- a/internal/sched/board/look.go
+++ b/internal/sched/board/look.go
@@ -231,6 +231,9 @@
 	b.log.Info("board: run ended", zap.Stringer("task", e.Run.Task), zap.Int64("run", e.Run.Number),
 		zap.String("worker", string(w.ID)), zap.String("how", string(e.How)))
 	w.judge(e.How)
+	if r != nil {
+		b.drop(r)
+	}
 	if s != nil && !s.job.state.Final() {
 		t := &s.tasks[e.Run.Task.Index]
 		t.last = max(t.last, e.Run.Number)
@@ -241,9 +244,6 @@
 		}
 		b.conclude(s, e, r)
 	}
-	if r != nil {
-		b.drop(r)
-	}
 }
 
 func (b *Board) conclude(s *bundle, e work.End, r *run) {
