tenure, gate: Replace a holder that says that the store refuses it within about a second

Ruled out: a shorter age for all; with a slow store the age of a sound holder reaches 1.7 s. Change: the answer to a beat says for how long the store has refused every transaction. From 300 ms on, peers look at the row, and one that the store serves takes it after 500 ms of stillness. The holder repeats a transaction at the latest after 250 ms instead of 1 s, so that it confirms the seat first when the store was away for all. Tests: tenure.TestHolderSaysThatItIsRefused fails with Refused always 0 and with a pause of 2 s, gate.TestHear without the new sign.

--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -28,6 +28,9 @@
 	aliveFor = 900 * time.Millisecond
 	// renewalAge is how long the store may not have confirmed the holder before others look at the seat.
 	renewalAge = 1200 * time.Millisecond
+	// refusedAge is how long the store must have refused the holder before others try whether it serves them: longer than
+	// a few repetitions of a transaction.
+	refusedAge = 300 * time.Millisecond
 	// tryTimeout bounds one call to the holder; a connection that fell silent costs as much.
 	tryTimeout = 800 * time.Millisecond
 	// seekFor is how long a request waits for a holder before it is refused. It stays below a quarter of the shortest
@@ -70,7 +73,7 @@
 	mu    sync.Mutex
 	beat  peer.BeatReply
 	heard time.Time
-	// gone is when the process of the holder of goneTerm was seen to have ended.
+	// gone is when the holder of goneTerm was seen to be unable to confirm the seat.
 	gone     time.Time
 	goneTerm int64
 }
@@ -114,14 +117,20 @@
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	reply, err := peer.Call(ctx, g.peers, seat.Address, peer.MethodBeat, peer.BeatRequest{From: g.name, Term: seat.Term})
-	if err != nil || !reply.Holds || reply.Age > renewalAge {
+	g.hear(seat, reply, err)
+}
+
+// hear takes in the answer to a beat.
+func (g *Gate) hear(seat tenure.Seat, reply peer.BeatReply, err error) {
+	out := err == nil && (!reply.Holds || reply.Refused >= refusedAge)
+	if err != nil || out || reply.Age > renewalAge {
 		g.log.Debug("gate: holder of the seat not confirmed", zap.String("holder", seat.Name), zap.Bool("holds", reply.Holds),
-			zap.Duration("age", reply.Age), zap.Error(err))
+			zap.Duration("age", reply.Age), zap.Duration("refused", reply.Refused), zap.Error(err))
 		g.seats.Poke()
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) || err == nil && !reply.Holds {
+	if errors.Is(err, syscall.ECONNREFUSED) || out {
 		g.gone, g.goneTerm = time.Now(), seat.Term
 	}
 	if err == nil {
@@ -129,7 +138,8 @@
 	}
 }
 
-// Gone reports whether the process that held the seat in a term was just seen to have ended.
+// Gone reports whether the process that held the seat in a term was just seen to have ended, or said just now that the
+// store refuses it.
 func (g *Gate) Gone(term int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -140,7 +150,8 @@
 func (g *Gate) Alive(term int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.beat.Holds && g.beat.Term == term && g.beat.Age <= renewalAge && time.Since(g.heard) <= aliveFor
+	return g.beat.Holds && g.beat.Term == term && g.beat.Age <= renewalAge && g.beat.Refused < refusedAge &&
+		time.Since(g.heard) <= aliveFor
 }
 
 // Pass is what a caller may do at a queue.
--- a/internal/serve/gate/gate_test.go
+++ b/internal/serve/gate/gate_test.go
@@ -1,10 +1,11 @@
-package gate_test
+package gate
 
 import (
 	"context"
 	"errors"
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
-	"github.com/yuccahaven/yuccahaven/internal/serve/gate"
+	"github.com/yuccahaven/yuccahaven/internal/state/tenure"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -46,14 +47,14 @@
 				h.verdicts = append(h.verdicts, peer.Verdict(v))
 			}
 			synctest.Test(t, func(t *testing.T) {
-				g := gate.New("e1", nil, &h, nil, zap.NewNop())
-				ctx, cancel := gate.Patience(t.Context(), 0)
+				g := New("e1", nil, &h, nil, zap.NewNop())
+				ctx, cancel := Patience(t.Context(), 0)
 				defer cancel()
 				began := time.Now()
 				var err error
 				switch d.Cmd {
 				case "submit":
-					err = g.Submit(ctx, gate.Pass{}, work.Job{ID: "a"})
+					err = g.Submit(ctx, Pass{}, work.Job{ID: "a"})
 				case "cancel":
 					err = g.Cancel(ctx, "a")
 				case "state":
@@ -76,3 +77,39 @@
 	}
 	return err.Error()
 }
+
+// pokes counts how often the row of the seat is to be looked at.
+type pokes int
+
+func (p *pokes) Seat() (tenure.Seat, bool) { return tenure.Seat{Term: 3}, true }
+func (p *pokes) Poke()                     { *p++ }
+
+// Guards against a holder that is believed fit although it can't confirm the seat, and against one that is replaced for
+// a single refused transaction.
+func TestHear(t *testing.T) {
+	tests := []struct {
+		name              string
+		reply             peer.BeatReply
+		err               error
+		alive, gone, poke bool
+	}{
+		{name: "well", reply: peer.BeatReply{Holds: true, Term: 3, Age: 100 * time.Millisecond}, alive: true},
+		{name: "refused once", reply: peer.BeatReply{Holds: true, Term: 3, Refused: 50 * time.Millisecond}, alive: true},
+		{name: "refused", reply: peer.BeatReply{Holds: true, Term: 3, Refused: 350 * time.Millisecond}, gone: true, poke: true},
+		{name: "not confirmed", reply: peer.BeatReply{Holds: true, Term: 3, Age: 2 * time.Second}, poke: true},
+		{name: "another process", reply: peer.BeatReply{}, gone: true, poke: true},
+		{name: "silent", err: context.DeadlineExceeded, poke: true},
+		{name: "ended", err: syscall.ECONNREFUSED, gone: true, poke: true},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			var p pokes
+			g := New("e1", nil, &holder{}, nil, zap.NewNop())
+			g.Follow(&p)
+			g.hear(tenure.Seat{Term: 3}, x.reply, x.err)
+			if g.Alive(3) != x.alive || g.Gone(3) != x.gone || (p > 0) != x.poke {
+				t.Errorf("alive %t, gone %t, %d looks", g.Alive(3), g.Gone(3), p)
+			}
+		})
+	}
+}
--- a/internal/serve/master/master.go
+++ b/internal/serve/master/master.go
@@ -212,7 +212,7 @@
 		t.Depose()
 		return peer.BeatReply{}
 	}
-	return peer.BeatReply{Holds: !t.Lost(), Term: t.Term(), Age: t.Age()}
+	return peer.BeatReply{Holds: !t.Lost(), Term: t.Term(), Age: t.Age(), Refused: t.Refused()}
 }
 
 // sampleSize is the number of values that a histogram keeps.
--- a/internal/state/tenure/elect.go
+++ b/internal/state/tenure/elect.go
@@ -17,8 +17,8 @@
 	// DefaultStale is how long the row must stand still, seen through a store that answers, before it is taken. The
 	// holder confirms it every BeatEvery.
 	DefaultStale = 1500 * time.Millisecond
-	// goneStale is the same if the holder's process is known to have ended: its address refuses connections or another
-	// process answers there.
+	// goneStale is the same if the holder is known not to confirm it: its process has ended, as its address refuses
+	// connections or another process answers there, or it says itself that the store refuses it.
 	goneStale = 500 * time.Millisecond
 	// BeatEvery is the longest time between two transactions of a holder.
 	BeatEvery = 500 * time.Millisecond
@@ -39,7 +39,7 @@
 type Signs interface {
 	// Alive reports whether it answers and can confirm the seat.
 	Alive(term int64) bool
-	// Gone reports whether its process has ended.
+	// Gone reports whether its process has ended or says that the store refuses it.
 	Gone(term int64) bool
 }
 
--- a/internal/state/tenure/tenure.go
+++ b/internal/state/tenure/tenure.go
@@ -16,9 +16,11 @@
 var ErrLost = errors.New("tenure: the seat is lost")
 
 const (
-	// retryPause is the longest pause before the first repetition of a transaction; it doubles up to maxRetryPause.
+	// retryPause is the longest pause before the first repetition of a transaction; it doubles up to maxRetryPause, which
+	// stays below goneStale, so that the holder confirms the seat first when the store is back for all. Only the holder
+	// repeats transactions: four a second.
 	retryPause    = 40 * time.Millisecond
-	maxRetryPause = time.Second
+	maxRetryPause = 250 * time.Millisecond
 )
 
 // Tenure is the seat while one process holds it.
@@ -32,8 +34,10 @@
 
 	// confirmed is when the last successful transaction was sent, in nanoseconds of the process's clock.
 	confirmed atomic.Int64
-	lost      atomic.Bool
-	epoch     time.Time
+	// refused is when the store first refused a transaction since then, on the same clock; 0 means that it did not.
+	refused atomic.Int64
+	lost    atomic.Bool
+	epoch   time.Time
 }
 
 // Take takes the seat from the holder whose row was seen; the zero Item is an empty row.
@@ -74,6 +78,16 @@
 // Age returns the time since the store last confirmed the seat.
 func (t *Tenure) Age() time.Duration { return time.Since(t.epoch) - time.Duration(t.confirmed.Load()) }
 
+// Refused returns for how long the store has refused every transaction or could not be reached. It says no more than
+// that: a reply that was lost is no refusal.
+func (t *Tenure) Refused() time.Duration {
+	since := t.refused.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(t.epoch) - time.Duration(since)
+}
+
 // Lost reports whether the seat is known to be lost.
 func (t *Tenure) Lost() bool { return t.lost.Load() }
 
@@ -122,8 +136,12 @@
 		if err == nil {
 			t.seat, t.ver = next, ver
 			t.confirmed.Store(int64(sent.Sub(t.epoch)))
+			t.refused.Store(0)
 			return nil
 		}
+		if errors.Is(err, table.ErrUnavailable) {
+			t.refused.CompareAndSwap(0, max(1, int64(time.Since(t.epoch))))
+		}
 		if !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrUnknown) {
 			return err
 		}
--- a/internal/state/tenure/tenure_test.go
+++ b/internal/state/tenure/tenure_test.go
@@ -99,6 +99,7 @@
 type holders struct {
 	mu    sync.Mutex
 	terms map[string]int
+	last  *tenure.Tenure
 }
 
 type holder struct {
@@ -110,6 +111,7 @@
 func (h holder) Hold(ctx context.Context, t *tenure.Tenure) {
 	h.all.mu.Lock()
 	h.all.terms[h.name]++
+	h.all.last = t
 	h.all.mu.Unlock()
 	for ctx.Err() == nil && t.Commit(ctx, nil) == nil {
 		time.Sleep(tenure.BeatEvery)
@@ -122,21 +124,40 @@
 func (rowOnly) Alive(int64) bool { return false }
 func (rowOnly) Gone(int64) bool  { return false }
 
+// told are the signs that peers have of a holder which says whether the store refuses it.
+type told struct{ all *holders }
+
+func (s told) Alive(term int64) bool { return !s.Gone(term) }
+
+func (s told) Gone(term int64) bool {
+	s.all.mu.Lock()
+	defer s.all.mu.Unlock()
+	return s.all.last != nil && s.all.last.Term() == term && s.all.last.Refused() >= 300*time.Millisecond
+}
+
 type election struct {
 	all   *holders
 	links map[string]*fakes.Link
 	ends  map[string]context.CancelFunc
+
+	electors map[string]*tenure.Elector
 }
 
 func newElection(store *fakes.Table, handicaps map[string]time.Duration) *election {
-	e := &election{all: &holders{terms: map[string]int{}}, links: map[string]*fakes.Link{}, ends: map[string]context.CancelFunc{}}
+	return newToldElection(store, handicaps, func(*holders) tenure.Signs { return rowOnly{} })
+}
+
+func newToldElection(store *fakes.Table, handicaps map[string]time.Duration, signs func(*holders) tenure.Signs) *election {
+	e := &election{all: &holders{terms: map[string]int{}}, links: map[string]*fakes.Link{}, ends: map[string]context.CancelFunc{},
+		electors: map[string]*tenure.Elector{}}
 	for name, handicap := range handicaps {
 		ctx, cancel := context.WithCancel(context.Background())
 		e.links[name], e.ends[name] = store.Link(), cancel
 		// Processes that start at the same moment may draw the same identity.
 		self := tenure.Self{Name: name, Boot: "same", Address: name}
-		el := tenure.NewElector(e.links[name], self, holder{name, e.all}, rowOnly{}, zap.NewNop())
+		el := tenure.NewElector(e.links[name], self, holder{name, e.all}, signs(e.all), zap.NewNop())
 		el.Handicap = handicap
+		e.electors[name] = el
 		go el.Run(ctx)
 	}
 	return e
@@ -213,3 +234,39 @@
 		e.stop()
 	})
 }
+
+// Guards against seconds without service while the store serves all but the holder, which knows it and says so, and
+// against a seat that changes hands when the store is back after it was away for all.
+func TestHolderSaysThatItIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		signs := func(all *holders) tenure.Signs { return told{all} }
+		e := newToldElection(fakes.NewTable(), map[string]time.Duration{"a": 0, "b": 300 * time.Millisecond}, signs)
+		time.Sleep(10 * time.Second)
+		for range 5 {
+			for _, l := range e.links {
+				l.Set(fakes.Faults{Down: true})
+			}
+			time.Sleep(7 * time.Second)
+			for _, l := range e.links {
+				l.Set(fakes.Faults{})
+			}
+			time.Sleep(10 * time.Second)
+		}
+		if n := e.total(); n != 1 {
+			t.Errorf("%d holders after outages of the store", n)
+		}
+		e.links["a"].Set(fakes.Faults{Down: true})
+		// 300 ms of refusals, 400 ms until a beat, 500 ms of stillness seen in looks 250 ms apart, the handicap and 120 ms
+		// of jitter.
+		const bound = 2100 * time.Millisecond
+		for began := time.Now(); time.Since(began) < bound; time.Sleep(400 * time.Millisecond) {
+			if (told{e.all}).Gone(1) {
+				e.electors["b"].Poke()
+			}
+		}
+		if n := e.of("b"); n != 1 {
+			t.Errorf("the other took the seat %d times", n)
+		}
+		e.stop()
+	})
+}
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -71,11 +71,13 @@
 	Term int64  `json:"term"`
 }
 
-// BeatReply says whether the asked instance holds the seat and since when the store has not confirmed it.
+// BeatReply says whether the asked instance holds the seat, since when the store has not confirmed it, and for how long
+// the store has refused it.
 type BeatReply struct {
-	Holds bool          `json:"holds"`
-	Term  int64         `json:"term"`
-	Age   time.Duration `json:"age"`
+	Holds   bool          `json:"holds"`
+	Term    int64         `json:"term"`
+	Age     time.Duration `json:"age"`
+	Refused time.Duration `json:"refused,omitempty"`
 }
 
 // Validate checks the message after decoding.
