tenure: Announce the holder of the seat to instances that don't beat

Elector.Learn, meant for that, was never called. Ruled out: asking the former holder, which the store may not serve either. Change: instances store their address once (host/NAME); the holder reads the rows and tells those that it has not heard for 1.2 s, every 2 s.

--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -58,6 +58,7 @@
 // Seats tells who holds the seat.
 type Seats interface {
 	Seat() (tenure.Seat, bool)
+	Learn(s tenure.Seat)
 	Poke()
 }
 
@@ -104,6 +105,17 @@
 	peer.Handle(s, peer.MethodBeat, func(_ context.Context, q peer.BeatRequest) (peer.BeatReply, error) {
 		return g.master.Beat(q), nil
 	})
+	peer.Handle(s, peer.MethodSeat, func(_ context.Context, q peer.SeatRequest) (peer.SeatReply, error) {
+		g.seats.Learn(tenure.Seat{Name: q.Name, Boot: q.Boot, Address: q.Address, Term: q.Term})
+		return peer.SeatReply{}, nil
+	})
+}
+
+// Tell announces the seat to the instance at an address.
+func (g *Gate) Tell(ctx context.Context, address string, s tenure.Seat) error {
+	_, err := peer.Call(ctx, g.peers, address, peer.MethodSeat,
+		peer.SeatRequest{Name: s.Name, Boot: s.Boot, Address: s.Address, Term: s.Term})
+	return err
 }
 
 // Run tells the holder of the seat at intervals that this instance sees it.
--- a/internal/serve/gate/gate_test.go
+++ b/internal/serve/gate/gate_test.go
@@ -82,6 +82,7 @@
 type pokes int
 
 func (p *pokes) Seat() (tenure.Seat, bool) { return tenure.Seat{Term: 3}, true }
+func (p *pokes) Learn(tenure.Seat)         {}
 func (p *pokes) Poke()                     { *p++ }
 
 // Guards against a holder that is believed fit although it can't confirm the seat, and against one that is replaced for
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -132,6 +132,11 @@
 	e.Handicap = h.Handicap
 	e.Stopped = h.stopped.Load
 	g.Follow(e)
+	a := &tenure.Announcer{Store: h.Master.Store, Self: self, Heard: h.master.Heard, Tell: g.Tell, Log: h.Log,
+		Seat: func() (tenure.Seat, bool) {
+			s, ok := e.Seat()
+			return s, ok && h.master.Holds()
+		}}
 	server := peer.NewServer(secret)
 	g.Serve(server)
 	front := h.Front(g)
@@ -140,6 +145,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { e.Run(ctx) })
 	loops.Go(func() { g.Run(ctx) })
+	loops.Go(func() { a.Run(ctx) })
 	loops.Go(func() {
 		if err := server.Serve(ctx, l); err != nil && ctx.Err() == nil {
 			h.Log.Error("host: peers are not served", zap.Error(err))
--- a/internal/serve/master/master.go
+++ b/internal/serve/master/master.go
@@ -215,6 +215,17 @@
 	return peer.BeatReply{Holds: !t.Lost(), Term: t.Term(), Age: t.Age(), Refused: t.Refused()}
 }
 
+// heardAge is how long a beat shows that a peer knows the holder: beats come every 400 ms, and one may be lost.
+const heardAge = 1200 * time.Millisecond
+
+// Heard reports whether a beat of a peer has come just now.
+func (m *Master) Heard(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok := m.beats[name]
+	return ok && time.Since(at) <= heardAge
+}
+
 // sampleSize is the number of values that a histogram keeps.
 const sampleSize = 1024
 
--- /dev/null
+++ b/internal/state/tenure/announce.go
@@ -0,0 +1,130 @@
+package tenure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
+)
+
+// PrefixHost is that of the rows that hold the addresses of the instances.
+const PrefixHost = "host/"
+
+const (
+	// announceCheck is the time between two checks whether there is something to announce.
+	announceCheck = 200 * time.Millisecond
+	// announceEvery is the time between two announcements to an instance that has not been heard.
+	announceEvery = 2 * time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = 500 * time.Millisecond
+	// hostsAge is how old the list of instances may be while this one holds the seat.
+	hostsAge = 10 * time.Second
+	// hostsPage is the largest number of rows that the store returns at once.
+	hostsPage = 500
+)
+
+// Announcer tells the instances that don't beat who holds the seat, so that those which the store does not serve can
+// pass requests on too.
+type Announcer struct {
+	Store table.Table
+	Self  Self
+	// Seat returns the seat while this process holds it.
+	Seat func() (Seat, bool)
+	// Heard reports whether a beat of an instance has come just now.
+	Heard func(name string) bool
+	// Tell brings the seat to the instance at an address.
+	Tell func(ctx context.Context, address string, s Seat) error
+	Log  *zap.Logger
+
+	hosts  map[string]Self
+	listed time.Time
+	told   map[string]time.Time
+}
+
+// Run registers this instance and makes announcements until the context ends.
+func (a *Announcer) Run(ctx context.Context) {
+	a.told = map[string]time.Time{}
+	var loops sync.WaitGroup
+	loops.Go(func() { a.register(ctx) })
+	pace.Every(ctx, announceCheck, nil, a.announce)
+	loops.Wait()
+}
+
+// register stores where this instance is reached. An older process of the same name is gone, so the row may be
+// overwritten.
+func (a *Announcer) register(ctx context.Context) {
+	value, err := cbor.Marshal(a.Self)
+	if err != nil {
+		a.Log.Error("tenure: address not encoded", zap.Error(err))
+		return
+	}
+	for pause := retryPause; ; pause = min(2*pause, announceEvery) {
+		_, err := a.Store.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: PrefixHost + a.Self.Name, Value: value}}})
+		if err == nil {
+			return
+		}
+		a.Log.Debug("tenure: address not stored", zap.Error(err))
+		if wait(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+func (a *Announcer) announce(ctx context.Context) {
+	s, ok := a.Seat()
+	if !ok {
+		a.hosts = nil
+		return
+	}
+	if a.hosts == nil || time.Since(a.listed) > hostsAge {
+		hosts, err := a.list(ctx)
+		if err != nil {
+			a.Log.Debug("tenure: instances not listed", zap.Error(err))
+		} else {
+			a.hosts, a.listed = hosts, time.Now()
+		}
+	}
+	var calls sync.WaitGroup
+	for name, h := range a.hosts {
+		if name == a.Self.Name || a.Heard(name) || time.Since(a.told[name]) < announceEvery {
+			continue
+		}
+		a.told[name] = time.Now()
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+			defer cancel()
+			if err := a.Tell(ctx, h.Address, s); err != nil {
+				a.Log.Debug("tenure: seat not announced", zap.String("instance", name), zap.Error(err))
+			}
+		})
+	}
+	calls.Wait()
+}
+
+func (a *Announcer) list(ctx context.Context) (map[string]Self, error) {
+	hosts := map[string]Self{}
+	after := ""
+	for {
+		items, err := a.Store.Scan(ctx, PrefixHost, after, hostsPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, i := range items {
+			var h Self
+			if err := cbor.Unmarshal(i.Value, &h); err != nil {
+				return nil, fmt.Errorf("tenure: decode %s: %w", i.Key, err)
+			}
+			hosts[h.Name] = h
+			after = i.Key
+		}
+		if len(items) < hostsPage {
+			return hosts, nil
+		}
+	}
+}
--- a/internal/state/tenure/seat.go
+++ b/internal/state/tenure/seat.go
@@ -39,8 +39,12 @@
 	return nil
 }
 
-// Self identifies this process.
-type Self struct{ Name, Boot, Address string }
+// Self identifies this process; Address is where peers reach it.
+type Self struct {
+	Name    string `json:"name"`
+	Boot    string `json:"boot"`
+	Address string `json:"address"`
+}
 
 func encode(s Seat) ([]byte, error) {
 	b, err := cbor.Marshal(s)
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -7,12 +7,13 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 )
 
-// The calls that entry instances make to the holder of the seat.
+// The calls that entry instances make to the holder of the seat, and MethodSeat, which the holder makes to them.
 const (
 	MethodSubmit  Method[SubmitRequest, JobReply]      = "/yuccahaven.Peer/Submit"
 	MethodJob     Method[JobRequest, JobReply]         = "/yuccahaven.Peer/Job"
 	MethodWaiting Method[WaitingRequest, WaitingReply] = "/yuccahaven.Peer/Waiting"
 	MethodBeat    Method[BeatRequest, BeatReply]       = "/yuccahaven.Peer/Beat"
+	MethodSeat    Method[SeatRequest, SeatReply]       = "/yuccahaven.Peer/Seat"
 )
 
 // Verdict says what became of a call about a job.
@@ -83,6 +84,28 @@
 // Validate checks the message after decoding.
 func (q SubmitRequest) Validate() error { return q.Job.Validate() }
 
+// SeatRequest tells an instance who holds the seat.
+type SeatRequest struct {
+	Name    string `json:"name"`
+	Boot    string `json:"boot"`
+	Address string `json:"address"`
+	Term    int64  `json:"term"`
+}
+
+// SeatReply confirms that the seat was taken note of.
+type SeatReply struct{}
+
+// Validate checks the message after decoding.
+func (q SeatRequest) Validate() error {
+	if q.Boot == "" || q.Address == "" || q.Term < 1 {
+		return errors.Join(ErrMessage, errors.New("seat without a boot, address or term"))
+	}
+	return nil
+}
+
+// Validate checks the message after decoding.
+func (SeatReply) Validate() error { return nil }
+
 // Validate checks the message after decoding.
 func (q JobRequest) Validate() error { return q.ID.Validate() }
 
