board: Put new jobs before the records of workers, log slow transactions

Change: new jobs, workers, ended jobs, progress, in this order. A transaction of 300 ms or more leaves a line with its rows and bytes. Test: TestBatchHoldsNewJobsFirst with records of workers fails without it.

--- a/internal/sched/board/record.go
+++ b/internal/sched/board/record.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -79,6 +78,15 @@
 	lives  map[work.WorkerID]int64
 }
 
+// Size returns the bytes of the rows.
+func (c Batch) Size() int {
+	n := 0
+	for _, w := range c.Writes {
+		n += len(w.Key) + len(w.Value)
+	}
+	return n
+}
+
 // Bounds of one batch, below those of a transaction of the store.
 const (
 	maxWrites = 90
@@ -119,6 +127,23 @@
 		}
 		return !whole
 	}
+	fresh, others := b.unsaved()
+	save := func(list []*job) error {
+		for _, j := range list {
+			if full() {
+				return nil
+			}
+			if err := b.encode(j, add, &c); err != nil {
+				return err
+			}
+			c.jobs[j.ID] = j.version
+			c.states[j.ID] = j.state
+		}
+		return nil
+	}
+	if err := save(fresh); err != nil {
+		return c, err
+	}
 	for id := range b.usedDirty {
 		if full() {
 			break
@@ -133,15 +158,8 @@
 			c.used[id] = false
 		}
 	}
-	for _, j := range b.unsaved() {
-		if full() {
-			break
-		}
-		if err := b.encode(j, add, &c); err != nil {
-			return c, err
-		}
-		c.jobs[j.ID] = j.version
-		c.states[j.ID] = j.state
+	if err := save(others); err != nil {
+		return c, err
 	}
 	for len(b.gone) > 0 && !full() {
 		c.Writes = append(c.Writes, table.Write{Key: PrefixJob + string(b.gone[0]), Delete: true})
@@ -157,21 +175,22 @@
 	return c, nil
 }
 
-// unsaved returns the jobs that are to be stored: new ones first, as their callers wait for the answer, then those that
-// have ended, then progress. A slow store takes fewer than there are.
-func (b *Board) unsaved() []*job {
-	urgency := func(j *job) int {
-		switch {
-		case !j.stored:
-			return 0
-		case j.state.Final():
-			return 1
+// unsaved returns the jobs that are to be stored: new ones, whose callers wait for the answer, and the others, first
+// those that have ended. A slow store takes fewer than there are.
+func (b *Board) unsaved() (fresh, others []*job) {
+	for _, j := range b.dirty {
+		if j.stored {
+			others = append(others, j)
+		} else {
+			fresh = append(fresh, j)
 		}
-		return 2
 	}
-	return slices.SortedFunc(maps.Values(b.dirty), func(x, y *job) int {
-		return cmp.Or(cmp.Compare(urgency(x), urgency(y)), cmp.Compare(x.Accepted, y.Accepted), cmp.Compare(x.ID, y.ID))
+	byAge := func(x, y *job) int { return cmp.Or(cmp.Compare(x.Accepted, y.Accepted), cmp.Compare(x.ID, y.ID)) }
+	slices.SortFunc(fresh, byAge)
+	slices.SortFunc(others, func(x, y *job) int {
+		return cmp.Or(follows(!x.state.Final(), !y.state.Final()), byAge(x, y))
 	})
+	return fresh, others
 }
 
 func (b *Board) encode(j *job, add func(string, any) error, c *Batch) error {
--- a/internal/sched/board/record_test.go
+++ b/internal/sched/board/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -10,7 +11,7 @@
 )
 
 // Guards against a caller that waits in vain while the store is slow: one transaction holds fewer rows than have
-// changed, and the new job waited behind the progress of others until its caller's deadline.
+// changed, and the new job waited behind the progress of others and the records of workers until its caller's deadline.
 func TestBatchHoldsNewJobsFirst(t *testing.T) {
 	b := New(DefaultOptions(), 1, nil)
 	b.Configure(work.NewConfig(work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}},
@@ -32,8 +33,9 @@
 		}
 		b.Committed(c)
 	}
-	for _, j := range b.jobs {
+	for i, j := range slices.Collect(maps.Values(b.jobs)) {
 		b.touch(j)
+		b.usedDirty[work.WorkerID(fmt.Sprint("w", i))] = true
 	}
 	submit("ffffffffffffffff")
 	c, err := b.Batch()
--- a/internal/serve/master/session.go
+++ b/internal/serve/master/session.go
@@ -18,6 +18,8 @@
 const (
 	// commitGap is the least time between two transactions, so that one carries the changes of many events.
 	commitGap = 12 * time.Millisecond
+	// slowCommit is how long a transaction takes that is worth a line in the log; the store takes about 10 ms.
+	slowCommit = 300 * time.Millisecond
 	// planGap is the least time between two plans, for the same reason.
 	planGap = 4 * time.Millisecond
 	// tickEvery is the time between two checks of what has become due.
@@ -197,6 +199,10 @@
 			return err
 		}
 		s.master.observe("store_commit_ms", began)
+		if took := time.Since(began); took >= slowCommit {
+			s.log.Warn("master: transaction took long", zap.Duration("took", took), zap.Int("rows", len(batch.Writes)),
+				zap.Int("bytes", batch.Size()))
+		}
 	}
 	s.mu.Lock()
 	s.board.Committed(batch)
