explain: Show what the logs of all instances say about a request

The new command reads logs from files or standard input and prints a request's lines in order of time, with gaps named and what may explain them.

--- a/internal/tool/opctl/opctl.go
+++ b/internal/tool/opctl/opctl.go
@@ -63,6 +63,7 @@
 	t.registerInstance(app)
 	t.registerKey(app)
 	t.registerReports(app)
+	t.registerExplain(app)
 	app.Command("version", "Print the version.").Action(func(*kingpin.ParseContext) error {
 		t.print("yuccahaven %s\n", t.version)
 		return nil
--- /dev/null
+++ b/internal/tool/story/story_test.go
@@ -0,0 +1,57 @@
+package story
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// Guards against a story that leaves out lines, tells them in another order than they happened or hides a gap. The log
+// is from a played day: a job that was refused while nobody held the seat and taken after the takeover, one that came
+// late, and one that failed by its attempts.
+func TestTell(t *testing.T) {
+	log, err := os.ReadFile("testdata/played.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ name, id string }{
+		{"refused", "fdaf6c95466d2002"},
+		{"late", "9cd59a101855853a"},
+		{"failed", "86beb88099906f0c"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			// The logs of several instances come one after the other, not in the order of time.
+			rows := bytes.SplitAfter(log, []byte("\n"))
+			var lines []Line
+			for _, half := range [][][]byte{rows[len(rows)/2:], rows[:len(rows)/2]} {
+				l, err := Read(bytes.NewReader(bytes.Join(half, nil)), x.id)
+				if err != nil {
+					t.Fatal(err)
+				}
+				lines = append(lines, l...)
+			}
+			var out bytes.Buffer
+			if found, err := Tell(&out, lines, x.id); !found || err != nil {
+				t.Fatalf("found %t, %v", found, err)
+			}
+			goldie.New(t).Assert(t, x.name, out.Bytes())
+		})
+	}
+}
+
+// Guards against a tool that fails at lines that are not of this program, or tells a story of an id that no line names.
+func TestReadForeignLines(t *testing.T) {
+	text := "panic: a0\n{\"level\":\"info\",\"a0\"\n{\"a0\":1}\n{\"ts\":\"yesterday\",\"msg\":\"a0\"}\n" +
+		`x {"level":"info","ts":"2026-01-02T03:04:05Z","msg":"tenure: seat taken","node":"e1","term":2}` + "\n"
+	lines, err := Read(strings.NewReader(text), "a0")
+	if err != nil || len(lines) != 1 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	var out bytes.Buffer
+	if found, err := Tell(&out, lines, "a0"); found || err != nil || out.Len() > 0 {
+		t.Errorf("found %t, %v: %s", found, err, out.String())
+	}
+}
