--- a/internal/serve/master/history_test.go
+++ b/internal/serve/master/history_test.go
@@ -38,6 +38,7 @@
 	book    *rules.Book
 	entries []*entry
 	boots   int
+	workers *watched
 }
 
 // noSigns leaves the elector with the row alone.
@@ -55,6 +56,7 @@
 			Capacity: work.Need{CPU: 4000, Memory: 4000}})
 	}
 	w := &world{t: t, table: fakes.NewTable(), crew: fakes.NewCrew(seed, workers...), book: rules.NewBook()}
+	w.workers = &watched{Crew: w.crew}
 	w.book.Configure(work.NewConfig(work.Config{Version: 1,
 		Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}},
 		Customers: map[string]work.Customer{"c": {Name: "c", Cap: work.Need{CPU: 12000}}}}))
@@ -69,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop, e.done = cancel, make(chan struct{})
 	w.boots++
-	m := master.New(master.Options{Store: e.link, Workers: w.crew, Fleet: w.crew, Rules: w.book,
+	m := master.New(master.Options{Store: e.link, Workers: w.workers, Fleet: w.crew, Rules: w.book,
 		Board: board.DefaultOptions(), Log: zap.NewNop()})
 	e.master.Store(m)
 	elector := tenure.NewElector(e.link, tenure.Self{Name: e.name, Boot: fmt.Sprintf("%s.%d", e.name, w.boots), Address: e.name},
