board: Choose a rack that holds the whole step

Cause: a step that wants one rack began on the worker that is fullest, whatever its rack had left, and spilled over to another rack although one had room for all. Found by the first test of it (testdata/rack: 2 of 4 tasks elsewhere). Change: before the first task of such a step the workers are narrowed down to the rack with the least room that holds all of it. Test: testdata/rack fails without the change.

--- a/internal/sched/board/plan.go
+++ b/internal/sched/board/plan.go
@@ -51,6 +51,7 @@
 				return !ok
 			})
 		}
+		able = b.together(s, able)
 		if s.spec.Gang {
 			orders = append(orders, b.placeGang(s, able, now)...)
 			continue
--- a/internal/sched/board/script_test.go
+++ b/internal/sched/board/script_test.go
@@ -220,7 +220,7 @@
 		flag := func(name string) bool { _, ok := m[name]; return ok }
 		step := work.Step{Count: max(1, int(s.number(m["count"]))), Need: s.need(m), Estimate: s.span(m["guess"]),
 			Spread: int(s.number(m["spread"])), Label: m["label"], Rack: m["rack"], Lasting: flag("lasting"),
-			Copies: flag("copies"), Gang: flag("gang"), Saves: flag("saves"), Fills: flag("fills"), Tail: s.span(m["tail"]),
+			Copies: flag("copies"), Gang: flag("gang"), Saves: flag("saves"), Fills: flag("fills"), Tight: flag("tight"), Tail: s.span(m["tail"]),
 			Budgeted: flag("miss"), Miss: int(s.number(m["miss"]))}
 		if flag("after") {
 			step.After = []int{int(s.number(m["after"]))}
