tenure: Announce less often to instances that don't answer

The rows of instances that are gone for good stay in the store; without a longer pause each cost a failed call every 2 s. Also a name in board/share.go that hid its type.

--- a/internal/sched/board/share.go
+++ b/internal/sched/board/share.go
@@ -18,17 +18,17 @@
 const weightUnit = 0.001
 
 // markBeyond marks the steps whose customers have more work running and waiting than their share by weight of what the
-// pool can do before the last of the steps is due. Jobs that are late already count too. While the pool can do everything in time, no step is marked: who
-// needs more than a share may have it, and the order by time serves all.
+// pool can do before the last of the steps is due. Jobs that are late already count too. While the pool can do everything
+// in time, no step is marked: who needs more than a share may have it, and the order by time serves all.
 func (b *Board) markBeyond(p *pool, list []entry, now time.Time) {
-	claims := claims{}
+	asked := claims{}
 	total, horizon := 0.0, leastHorizon
 	for _, e := range list {
 		if e.r.class != classLasting {
 			own := b.effort(e.s)
 			total += own
 			horizon = max(horizon, e.s.job.deadline.Sub(now))
-			claims.of(e.s.job, b.config).Normal += int(own)
+			asked.of(e.s.job, b.config).Normal += int(own)
 		}
 	}
 	room := 0.0
@@ -44,17 +44,17 @@
 			}
 			left := float64(r.need.CPU) * max(b.estimate(r.bundle.job.Queue, *r.bundle.spec)-now.Sub(r.began), 0).Seconds()
 			total += left
-			claims.of(r.bundle.job, b.config).Held += int(left)
+			asked.of(r.bundle.job, b.config).Held += int(left)
 		}
 	}
 	capacity := max(room, 0) * horizon.Seconds()
-	if total <= capacity || len(claims) < 2 {
+	if total <= capacity || len(asked) < 2 {
 		return
 	}
-	share.Divide(slices.SortedFunc(maps.Values(claims), func(x, y *share.Claim) int { return cmp.Compare(x.Team, y.Team) }), capacity)
+	share.Divide(slices.SortedFunc(maps.Values(asked), func(x, y *share.Claim) int { return cmp.Compare(x.Team, y.Team) }), capacity)
 	for i, e := range list {
 		if e.r.class != classLasting {
-			c := claims.of(e.s.job, b.config)
+			c := asked.of(e.s.job, b.config)
 			list[i].r.beyond = float64(c.Held) >= c.Due()
 			c.Held += int(b.effort(e.s))
 		}
--- a/internal/state/tenure/announce.go
+++ b/internal/state/tenure/announce.go
@@ -21,6 +21,9 @@
 	announceCheck = 200 * time.Millisecond
 	// announceEvery is the time between two announcements to an instance that has not been heard.
 	announceEvery = 2 * time.Second
+	// maxDoublings bounds how often that time doubles while an instance does not answer: the rows of instances that are
+	// gone for good stay, and the others must hear within seconds when they are reached again.
+	maxDoublings = 2
 	// announceTimeout bounds one announcement.
 	announceTimeout = 500 * time.Millisecond
 	// hostsAge is how old the list of instances may be while this one holds the seat.
@@ -45,11 +48,15 @@
 	hosts  map[string]Self
 	listed time.Time
 	told   map[string]time.Time
+
+	mu sync.Mutex
+	// failed counts the announcements to an instance that failed in a row.
+	failed map[string]int
 }
 
 // Run registers this instance and makes announcements until the context ends.
 func (a *Announcer) Run(ctx context.Context) {
-	a.told = map[string]time.Time{}
+	a.told, a.failed = map[string]time.Time{}, map[string]int{}
 	var loops sync.WaitGroup
 	loops.Go(func() { a.register(ctx) })
 	pace.Every(ctx, announceCheck, nil, a.announce)
@@ -92,21 +99,34 @@
 	}
 	var calls sync.WaitGroup
 	for name, h := range a.hosts {
-		if name == a.Self.Name || a.Heard(name) || time.Since(a.told[name]) < announceEvery {
+		if name == a.Self.Name || a.Heard(name) || time.Since(a.told[name]) < a.pause(name) {
 			continue
 		}
 		a.told[name] = time.Now()
 		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 			defer cancel()
-			if err := a.Tell(ctx, h.Address, s); err != nil {
-				a.Log.Debug("tenure: seat not announced", zap.String("instance", name), zap.Error(err))
+			err := a.Tell(ctx, h.Address, s)
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if err == nil {
+				a.failed[name] = 0
+				return
 			}
+			a.failed[name]++
+			a.Log.Debug("tenure: seat not announced", zap.String("instance", name), zap.Error(err))
 		})
 	}
 	calls.Wait()
 }
 
+// pause returns the time between two announcements to an instance.
+func (a *Announcer) pause(name string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return announceEvery << min(a.failed[name], maxDoublings)
+}
+
 func (a *Announcer) list(ctx context.Context) (map[string]Self, error) {
 	hosts := map[string]Self{}
 	after := ""
--- a/internal/state/tenure/announce_test.go
+++ b/internal/state/tenure/announce_test.go
@@ -68,6 +68,9 @@
 		if n := count("c:1"); n < 4 || n > 6 {
 			t.Errorf("%d announcements to an instance that is not heard, in 10 s", n)
 		}
+		if n := count("d:1"); n < 2 || n > 3 {
+			t.Errorf("%d announcements to an instance that is not reached, in 10 s", n)
+		}
 		if count("a:1") > 0 || count("b:1") > 0 {
 			t.Errorf("announced to itself or to an instance that beats: %v", told)
 		}
