master: Take no news from a list of machines that could not be read

Cause: a list that could not be read (too many requests) got the time of the request, but the machines stayed those of the list before, in which machines that had gone away since were still up; they counted as back. Ruled out: the order of calls and lists (a list asked for before the maintenance ended does not count), a takeover (there was none). Change: the time goes with the list. Besides, a machine that the list shows under maintenance counts against the cap even if the reply to the call that began it was lost and the next was declined as busy.

--- a/internal/plan/waves/ledger.go
+++ b/internal/plan/waves/ledger.go
@@ -20,6 +20,8 @@
 	Name string
 	// Listed machines exist; Up ones are neither moving nor under maintenance nor down.
 	Listed, Up bool
+	// Maintained machines are under maintenance.
+	Maintained bool
 	// Taken means that it is away or being emptied for this wave, Moving that it is so for something else.
 	Taken, Moving bool
 }
@@ -53,7 +55,9 @@
 // Phase says where a machine stands. One that is back stays so, whatever is done to it later.
 func (l *Ledger) Phase(s Sighting) Phase {
 	switch {
-	case s.Taken:
+	case s.Taken, s.Maintained:
+		// Maintenance counts even if the reply to the call that began it was lost. It may be that of another wave, so the
+		// machine stays due.
 		return Down
 	case l.Done[s.Name] && (s.Up || s.Moving):
 		l.back = with(l.back, s.Name)
--- a/internal/plan/waves/ledger_test.go
+++ b/internal/plan/waves/ledger_test.go
@@ -3,7 +3,8 @@
 import "testing"
 
 // Guards against a wave that is never reported as completed because machines that have had their maintenance move to
-// other pools, and against one that is reported while machines are away or still due.
+// other pools, against one that is reported while machines are away or still due, and against more machines away than
+// the wave's cap because one of them is taken for due.
 func TestPhase(t *testing.T) {
 	tests := []struct {
 		name                string
@@ -18,6 +19,7 @@
 		{name: "gone for good", seen: Sighting{}, want: Over},
 		{name: "can't be taken", refused: true, seen: Sighting{Listed: true, Up: true}, want: Over},
 		{name: "being emptied", seen: Sighting{Listed: true, Up: true, Taken: true}, want: Down},
+		{name: "away after a call without a reply", seen: Sighting{Listed: true, Maintained: true}, want: Down},
 		{name: "away", done: true, seen: Sighting{Listed: true, Taken: true}, want: Down},
 		{name: "away under a former holder", done: true, seen: Sighting{Listed: true}, want: Down},
 		{name: "back", done: true, seen: Sighting{Listed: true, Up: true}, want: Over},
--- a/internal/serve/master/moves.go
+++ b/internal/serve/master/moves.go
@@ -18,9 +18,11 @@
 type Machine struct {
 	Name, Pool, Zone string
 	// Up machines are neither moving nor under maintenance nor down.
-	Up       bool
-	Worker   string
-	Capacity work.Need
+	Up bool
+	// Maintained machines are under maintenance.
+	Maintained bool
+	Worker     string
+	Capacity   work.Need
 }
 
 // Result is what became of a call about a machine.
@@ -92,10 +94,11 @@
 	session  *session
 	planner  *shift.Planner
 	machines map[string]Machine
-	listed   time.Time
-	listing  bool
-	errands  map[string]*errand
-	barred   map[string][]string
+	// listed is when the list was asked for, tried when the last one was.
+	listed, tried time.Time
+	listing       bool
+	errands       map[string]*errand
+	barred        map[string][]string
 	// busyUntil is until when machines that could not be taken are left alone.
 	busyUntil       map[string]time.Time
 	waves           map[int64]*waveState
@@ -148,7 +151,7 @@
 	if m.session.board.Unsure() {
 		every = listUnsure
 	}
-	due := !m.listing && time.Since(m.listed) >= every
+	due := !m.listing && time.Since(m.tried) >= every
 	m.listing = m.listing || due
 	m.session.mu.Unlock()
 	if !due {
@@ -160,13 +163,15 @@
 		m.session.mu.Lock()
 		defer m.session.mu.Unlock()
 		m.listing = false
-		m.listed = sent
+		m.tried = sent
 		if err != nil {
 			if ctx.Err() == nil {
 				m.session.log.Warn("master: machines not listed", zap.Error(err))
 			}
 			return
 		}
+		// A list that failed leaves the old one with its time: it must not show machines as back that were not away yet.
+		m.listed = sent
 		m.machines = map[string]Machine{}
 		running := make(map[string]work.WorkerID, len(list))
 		for _, x := range list {
--- a/internal/serve/master/waves.go
+++ b/internal/serve/master/waves.go
@@ -83,7 +83,7 @@
 	for _, name := range w.Machines {
 		x, ok := m.machines[name]
 		e := m.errands[name]
-		switch state.Phase(waves.Sighting{Name: name, Listed: ok, Up: x.Up, Taken: e != nil && e.wave == w.Number,
+		switch state.Phase(waves.Sighting{Name: name, Listed: ok, Up: x.Up, Maintained: x.Maintained, Taken: e != nil && e.wave == w.Number,
 			Moving: e != nil && e.wave != w.Number}) {
 		case waves.Left:
 			left = append(left, x)
