tenure: Skip the addresses of instances that can't be read

One such row kept all announcements from being made. Found by reading. Test: TestAnnouncer with two unreadable rows fails without the change.

--- a/internal/state/tenure/announce.go
+++ b/internal/state/tenure/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -136,12 +135,17 @@
 			return nil, err
 		}
 		for _, i := range items {
+			after = i.Key
 			var h Self
-			if err := cbor.Unmarshal(i.Value, &h); err != nil {
-				return nil, fmt.Errorf("tenure: decode %s: %w", i.Key, err)
+			err := cbor.Unmarshal(i.Value, &h)
+			if err == nil {
+				err = h.Validate()
+			}
+			if err != nil {
+				a.Log.Error("tenure: address of an instance can't be read", zap.String("key", i.Key), zap.Error(err))
+				continue
 			}
 			hosts[h.Name] = h
-			after = i.Key
 		}
 		if len(items) < hostsPage {
 			return hosts, nil
--- a/internal/state/tenure/announce_test.go
+++ b/internal/state/tenure/announce_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
+	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/state/tenure"
 )
 
@@ -19,6 +20,13 @@
 func TestAnnouncer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := fakes.NewTable()
+		// Rows that can't be read must not keep the others from being told.
+		for key, value := range map[string]string{"host/x": "?", "host/y": "\xa0"} {
+			_, err := store.Link().Commit(t.Context(), table.Transaction{Writes: []table.Write{{Key: key, Value: []byte(value)}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var mu sync.Mutex
 		told := map[string]int{}
--- a/internal/state/tenure/seat.go
+++ b/internal/state/tenure/seat.go
@@ -46,6 +46,14 @@
 	Address string `json:"address"`
 }
 
+// Validate checks the row of an instance after decoding.
+func (s Self) Validate() error {
+	if s.Name == "" || s.Address == "" {
+		return errors.New("tenure: instance without a name or address")
+	}
+	return nil
+}
+
 func encode(s Seat) ([]byte, error) {
 	b, err := cbor.Marshal(s)
 	if err != nil {
