--- a/internal/sched/board/plan.go
+++ b/internal/sched/board/plan.go
@@ -106,13 +106,13 @@
 
 // compare orders steps by priority, class, share and time; it never returns 0 for two steps.
 func (e entry) compare(o entry) int {
-	return cmp.Or(cmp.Compare(e.r.priority, o.r.priority), cmp.Compare(e.r.class, o.r.class), follows(e.r.beyond, o.r.beyond),
+	return cmp.Or(cmp.Compare(e.r.priority, o.r.priority), cmp.Compare(e.r.class, o.r.class), compareBool(e.r.beyond, o.r.beyond),
 		e.r.latest.Compare(o.r.latest), cmp.Compare(e.s.job.ID, o.s.job.ID), cmp.Compare(e.s.round, o.s.round),
 		cmp.Compare(e.s.step, o.s.step))
 }
 
-// follows puts false before true.
-func follows(x, y bool) int {
+// compareBool puts false before true.
+func compareBool(x, y bool) int {
 	switch {
 	case x == y:
 		return 0
--- a/internal/sched/board/record.go
+++ b/internal/sched/board/record.go
@@ -188,7 +188,7 @@
 	byAge := func(x, y *job) int { return cmp.Or(cmp.Compare(x.Accepted, y.Accepted), cmp.Compare(x.ID, y.ID)) }
 	slices.SortFunc(fresh, byAge)
 	slices.SortFunc(others, func(x, y *job) int {
-		return cmp.Or(follows(!x.state.Final(), !y.state.Final()), byAge(x, y))
+		return cmp.Or(compareBool(!x.state.Final(), !y.state.Final()), byAge(x, y))
 	})
 	return fresh, others
 }
