tenure: Keep the term apart from the seat's row

Cause: Term read the row that a transaction replaces at the same time; the race detector found it in TestHolderSaysThatItIsRefused beside load. The number is the same in both, so that nothing went wrong.

--- a/internal/state/tenure/tenure.go
+++ b/internal/state/tenure/tenure.go
@@ -27,6 +27,7 @@
 type Tenure struct {
 	store table.Table
 	fence uint64
+	term  int64
 
 	mu   sync.Mutex
 	seat Seat
@@ -50,7 +51,7 @@
 		}
 		term = old.Term
 	}
-	t := &Tenure{store: store, epoch: time.Now(),
+	t := &Tenure{store: store, epoch: time.Now(), term: term + 1,
 		seat: Seat{Name: self.Name, Boot: self.Boot, Address: self.Address, Term: term + 1}, ver: seen.Version}
 	value, err := encode(t.seat)
 	if err != nil {
@@ -73,7 +74,7 @@
 func (t *Tenure) Fence() int64 { return int64(t.fence) }
 
 // Term returns the number of this tenure.
-func (t *Tenure) Term() int64 { return t.seat.Term }
+func (t *Tenure) Term() int64 { return t.term }
 
 // Age returns the time since the store last confirmed the seat.
 func (t *Tenure) Age() time.Duration { return time.Since(t.epoch) - time.Duration(t.confirmed.Load()) }
