model/speed, leader: Log the speed of the process and what transactions wait for

Every instance now times 32 KB of hashing ten times a second and how late that begins (process_slowdown, process_delay_ms, and a line when the process becomes slow or is no longer slow). The leader logs once a second the count, rows and longest time of its transactions, the longest wait behind others, the age of the oldest new job and how many jobs found no room. No decision depends on these yet.

--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -71,9 +71,13 @@
 
 // Batch is a set of writes for the store and the versions and ends that its commit confirms.
 type Batch struct {
-	Writes      []table.Write
-	jobVersions map[work.JobID]int
-	jobStates   map[work.JobID]work.State
+	Writes []table.Write
+	// NewJobs counts the jobs that wait to be stored for the first time, Left those of all jobs that found no room in the
+	// batch; OldestNewJob is when the first of the new jobs was accepted, zero without any.
+	NewJobs, Left int
+	OldestNewJob  time.Time
+	jobVersions   map[work.JobID]int
+	jobStates     map[work.JobID]work.State
 	// inUse is true for a worker whose record is written, false for one whose record is deleted.
 	inUse        map[work.WorkerID]bool
 	ackedEnds    map[work.WorkerID]int64
@@ -133,6 +137,10 @@
 		return !complete
 	}
 	newJobs, others := sc.dirtyJobs()
+	c.NewJobs = len(newJobs)
+	if len(newJobs) > 0 {
+		c.OldestNewJob = time.UnixMilli(newJobs[0].Accepted)
+	}
 	save := func(list []*job) error {
 		for _, j := range list {
 			if full() {
@@ -171,6 +179,7 @@
 		c.Writes = append(c.Writes, table.Write{Key: PrefixJob + string(sc.deleted[0]), Delete: true})
 		sc.deleted = sc.deleted[1:]
 	}
+	c.Left = len(newJobs) + len(others) - len(c.jobVersions)
 	if complete {
 		for id, w := range sc.workers {
 			if w.handledEnd > w.ackedEnd {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/yuccahaven/yuccahaven/internal/model/speed"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
 	"github.com/yuccahaven/yuccahaven/internal/serve/router"
@@ -71,10 +72,13 @@
 	front        atomic.Pointer[http.Handler]
 	shuttingDown atomic.Bool
 	leader       *leader.Service
+	speed        *speed.Monitor
 }
 
 // New returns a host that is not running yet.
-func New(o Options) *Host { return &Host{Options: o, leader: leader.New(o.Leader)} }
+func New(o Options) *Host {
+	return &Host{Options: o, leader: leader.New(o.Leader), speed: speed.NewMonitor(o.Registry, o.Log)}
+}
 
 // Run serves until the context ends, and then answers the requests in flight within the grace period. It returns an
 // error at once if it can't listen on an address or one of its HTTP servers fails.
@@ -110,6 +114,7 @@
 		zap.String("callers", h.Callers), zap.String("peers", h.Peers))
 	var loops sync.WaitGroup
 	loops.Go(func() { h.WatchRules(runCtx) })
+	loops.Go(func() { h.speed.Run(runCtx) })
 	loops.Go(func() { h.join(runCtx, peers) })
 	select {
 	case <-ctx.Done():
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -139,7 +139,7 @@
 			}
 			after = page[len(page)-1].Key
 		}
-		if err := l.Commit(ctx, nil); err != nil {
+		if _, err := l.Commit(ctx, nil); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -18,8 +18,6 @@
 const (
 	// minCommitInterval is the least time between two transactions, so that one holds the changes of many events.
 	minCommitInterval = 12 * time.Millisecond
-	// slowCommit is the duration from which a transaction is logged as slow; the store usually takes about 10 ms.
-	slowCommit = 300 * time.Millisecond
 	// minPlanInterval is the least time between two planning passes, so that one covers many events.
 	minPlanInterval = 4 * time.Millisecond
 	// tickInterval is the time between two checks for timers of the scheduler that are due.
@@ -45,6 +43,8 @@
 	authorizing  sync.Mutex
 	steppingDown bool
 	waves        map[int64]*waveState
+	// transactions is used by the commit loop only.
+	transactions txLog
 
 	planWake, commitWake chan struct{}
 	// done is closed when the session ends.
@@ -56,7 +56,7 @@
 		service: s, leadership: l, log: s.Log, scheduler: engine.New(s.Options.Scheduler, l.Term(), s.Log),
 		renewals: map[work.WorkerID]chan struct{}{}, committed: make(chan struct{}),
 		waves: map[int64]*waveState{}, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
-		done: make(chan struct{}),
+		done: make(chan struct{}), transactions: txLog{log: s.Log},
 	}
 }
 
@@ -205,14 +205,12 @@
 	}
 	if len(batch.Writes) > 0 || s.leadership.SinceConfirmed() >= elect.ConfirmInterval {
 		began := time.Now()
-		if err := s.leadership.Commit(ctx, batch.Writes); err != nil {
+		queued, err := s.leadership.Commit(ctx, batch.Writes)
+		if err != nil {
 			return err
 		}
 		s.service.observe("store_commit_ms", began)
-		if took := time.Since(began); took >= slowCommit {
-			s.log.Warn("leader: store transaction was slow", zap.Duration("took", took), zap.Int("rows", len(batch.Writes)),
-				zap.Int("bytes", batch.Size()))
-		}
+		s.transactions.record(batch, began, queued)
 	}
 	s.mu.Lock()
 	s.scheduler.HandleCommit(batch)
--- /dev/null
+++ b/internal/serve/leader/txlog.go
@@ -0,0 +1,51 @@
+package leader
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+)
+
+const (
+	// txLogInterval is the time between two reports on the transactions in the log.
+	txLogInterval = time.Second
+	// slowCommit is the duration from which a transaction is logged as slow; the store usually takes about 10 ms.
+	slowCommit = 300 * time.Millisecond
+)
+
+// txLog reports on the leader's transactions, so that a slow store, a slow process and a backlog can be told apart.
+type txLog struct {
+	log   *zap.Logger
+	since time.Time
+	// transactions and rows are counts since then, longest and queued the longest times that a transaction took and
+	// waited for others of the leader.
+	transactions, rows int
+	longest, queued    time.Duration
+	// oldestJob is the longest time from the acceptance of a job to the transaction with its record.
+	oldestJob time.Duration
+}
+
+// record adds a transaction that has succeeded and began at a time, and reports once per txLogInterval.
+func (l *txLog) record(batch engine.Batch, began time.Time, queued time.Duration) {
+	now := time.Now()
+	took := now.Sub(began)
+	if took >= slowCommit {
+		l.log.Warn("leader: store transaction was slow", zap.Duration("took", took), zap.Duration("queued", queued),
+			zap.Int("rows", len(batch.Writes)), zap.Int("bytes", batch.Size()))
+	}
+	l.transactions++
+	l.rows += len(batch.Writes)
+	l.longest, l.queued = max(l.longest, took), max(l.queued, queued)
+	if batch.NewJobs > 0 {
+		l.oldestJob = max(l.oldestJob, began.Sub(batch.OldestNewJob))
+	}
+	if now.Sub(l.since) < txLogInterval {
+		return
+	}
+	l.log.Info("leader: store transactions", zap.Int("count", l.transactions), zap.Int("rows", l.rows),
+		zap.Duration("longest", l.longest), zap.Duration("queued", l.queued), zap.Duration("oldest", l.oldestJob),
+		zap.Int("new", batch.NewJobs), zap.Int("left", batch.Left))
+	*l = txLog{log: l.log, since: now}
+}
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -38,7 +38,7 @@
 	value, err := json.Marshal(m.waves[wave])
 	m.session.mu.Unlock()
 	if err == nil {
-		err = m.session.leadership.Commit(ctx, []table.Write{{Key: prefixWave + strconv.FormatInt(wave, 10), Value: value}})
+		_, err = m.session.leadership.Commit(ctx, []table.Write{{Key: prefixWave + strconv.FormatInt(wave, 10), Value: value}})
 	}
 	if err != nil && ctx.Err() == nil {
 		m.session.log.Warn("leader: storing the progress of a wave failed", zap.Int64("wave", wave), zap.Error(err))
--- a/internal/state/elect/elect_test.go
+++ b/internal/state/elect/elect_test.go
@@ -62,7 +62,7 @@
 				l := acquire(t, link, "a")
 				link.SetFaults(x.faults)
 				for _, v := range []string{"1", "2", "3"} {
-					if err := l.Commit(t.Context(), put("job/x", v)); err != nil {
+					if _, err := l.Commit(t.Context(), put("job/x", v)); err != nil {
 						t.Fatal(err)
 					}
 				}
@@ -86,10 +86,10 @@
 			t.Errorf("fence %d after %d, term %d after %d",
 				second.FencingToken(), first.FencingToken(), second.Term(), first.Term())
 		}
-		if err := first.Commit(t.Context(), put("job/x", "1")); !errors.Is(err, elect.ErrLost) {
+		if _, err := first.Commit(t.Context(), put("job/x", "1")); !errors.Is(err, elect.ErrLost) {
 			t.Errorf("write of the former leader: %v", err)
 		}
-		if err := second.Commit(t.Context(), put("job/x", "2")); err != nil {
+		if _, err := second.Commit(t.Context(), put("job/x", "2")); err != nil {
 			t.Error(err)
 		}
 		if got := value(t, link, "job/x"); got != "2" {
@@ -120,7 +120,10 @@
 	c.recorder.terms[c.name]++
 	c.recorder.latest = l
 	c.recorder.mu.Unlock()
-	for ctx.Err() == nil && l.Commit(ctx, nil) == nil {
+	for ctx.Err() == nil {
+		if _, err := l.Commit(ctx, nil); err != nil {
+			return
+		}
 		time.Sleep(elect.ConfirmInterval)
 	}
 }
--- a/internal/state/elect/leadership.go
+++ b/internal/state/elect/leadership.go
@@ -102,12 +102,14 @@
 func (l *Leadership) MarkLost() { l.lost.Store(true) }
 
 // Commit writes rows as the leader and confirms leadership; it repeats the transaction until its outcome is known. It
-// returns ErrLost if leadership is lost or released, the context's error if that ends first, and the store's error if
-// the transaction is invalid.
-func (l *Leadership) Commit(ctx context.Context, writes []table.Write) error {
+// returns how long the transaction waited for others of this leader, and ErrLost if leadership is lost or released, the
+// context's error if that ends first, and the store's error if the transaction is invalid.
+func (l *Leadership) Commit(ctx context.Context, writes []table.Write) (time.Duration, error) {
+	began := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.write(ctx, writes, false)
+	queued := time.Since(began)
+	return queued, l.write(ctx, writes, false)
 }
 
 // Release releases leadership, so that other instances can acquire it at once. Even if that fails, leadership counts as
