state/elect: Let a context end the wait for another transaction

A transaction, and the release of leadership at a stop, waited for the transaction in progress without a bound, whatever the context said. It also kept tests with a paused clock from running two transactions of one leader at once, since a wait for a mutex stops that clock.

--- a/internal/state/elect/leadership.go
+++ b/internal/state/elect/leadership.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +29,9 @@
 	fence uint64
 	term  int64
 
-	// mu is held during a transaction and guards record, the last one written, and its version.
-	mu      sync.Mutex
+	// writing holds a value during a transaction and guards record, the last one written, and its version. Unlike a mutex
+	// it can be waited for until a context ends.
+	writing chan struct{}
 	record  LeaderRecord
 	version uint64
 
@@ -55,7 +55,7 @@
 		}
 		term = old.Term
 	}
-	l := &Leadership{store: store, epoch: time.Now(), term: term + 1,
+	l := &Leadership{store: store, epoch: time.Now(), term: term + 1, writing: make(chan struct{}, 1),
 		record: LeaderRecord{Name: self.Name, Boot: self.Boot, Address: self.Address, Term: term + 1}, version: last.Version}
 	value, err := encode(l.record)
 	if err != nil {
@@ -106,18 +106,36 @@
 // context's error if that ends first, and the store's error if the transaction is invalid.
 func (l *Leadership) Commit(ctx context.Context, writes []table.Write) (time.Duration, error) {
 	began := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	if err := l.begin(ctx); err != nil {
+		return time.Since(began), err
+	}
+	defer l.end()
 	queued := time.Since(began)
 	return queued, l.write(ctx, writes, false)
 }
 
+// begin waits until no transaction is in progress.
+func (l *Leadership) begin(ctx context.Context) error {
+	select {
+	case l.writing <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Leadership) end() { <-l.writing }
+
 // Release releases leadership, so that other instances can acquire it at once. Even if that fails, leadership counts as
 // lost from then on.
 func (l *Leadership) Release(ctx context.Context) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	if err := l.begin(ctx); err != nil {
+		l.lost.Store(true)
+		return err
+	}
+	defer l.end()
 	err := l.write(ctx, nil, true)
+	// Set before the next transaction can begin, which would acquire leadership again.
 	l.lost.Store(true)
 	return err
 }
