leader, router: Log when another instance is better suited to lead

Heartbeats carry the delay with which their sender stands for election at its present speed, and the leader logs when a peer's is shorter by half a second. No decision depends on it yet; instances stand for election with the delay of their nominal resources, as before. An instance of the former build sends no delay, which counts as 0: it stands for election without regard to its speed.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -46,8 +46,9 @@
 	Name, Zone string
 	// Callers, Ready, Peers and Metrics are the addresses to listen on; Peers is also where peers reach this instance.
 	Callers, Ready, Peers, Metrics string
-	// ElectionDelay delays this instance's attempts to acquire leadership.
-	ElectionDelay time.Duration
+	// ElectionDelay returns by how much this instance's attempts to acquire leadership are delayed if its process runs
+	// slower than usual by a factor.
+	ElectionDelay func(slowdown float64) time.Duration
 	// Grace is the time that the shutdown may take.
 	Grace time.Duration
 	// Boot identifies this process among those of the instance.
@@ -77,9 +78,15 @@
 
 // New returns a host that is not running yet.
 func New(o Options) *Host {
-	return &Host{Options: o, leader: leader.New(o.Leader), speed: speed.NewMonitor(o.Registry, o.Log)}
+	h := &Host{Options: o, speed: speed.NewMonitor(o.Registry, o.Log)}
+	o.Leader.ElectionDelay = h.currentElectionDelay
+	h.leader = leader.New(o.Leader)
+	return h
 }
 
+// currentElectionDelay returns the election delay at the present speed of the process.
+func (h *Host) currentElectionDelay() time.Duration { return h.ElectionDelay(h.speed.Slowdown()) }
+
 // Run serves until the context ends, and then answers the requests in flight within the grace period. It returns an
 // error at once if it can't listen on an address or one of its HTTP servers fails.
 func (h *Host) Run(ctx context.Context) error {
@@ -143,9 +150,10 @@
 	r := router.New(h.Name, h.Rules, h.leader, client, h.Log)
 	self := elect.Identity{Name: h.Name, Boot: h.Boot, Address: h.Peers}
 	e := elect.NewElector(h.Leader.Store, self, h.leader, r, h.Log)
-	e.ElectionDelay = h.ElectionDelay
+	e.ElectionDelay = func() time.Duration { return h.ElectionDelay(1) }
 	e.ShuttingDown = h.shuttingDown.Load
 	r.SetLeaderTracker(e)
+	r.SetElectionDelay(h.currentElectionDelay)
 	a := &elect.Announcer{Store: h.Leader.Store, Self: self, HeardRecently: h.leader.HeardRecently,
 		AnnounceLeader: r.AnnounceLeader, Log: h.Log,
 		Leader: func() (elect.LeaderRecord, bool) {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -52,6 +52,8 @@
 	Authorizer Authorizer
 	Scheduler  engine.Options
 	Moves      MoveOptions
+	// ElectionDelay returns the delay with which this instance stands for election now; nil means 0.
+	ElectionDelay func() time.Duration
 	// Registry may be nil; then the Service creates one.
 	Registry metrics.Registry
 	Log      *zap.Logger
@@ -66,8 +68,13 @@
 	session *session
 	// leadership is nil while this process doesn't lead; unlike session it is set during the load.
 	leadership *elect.Leadership
-	// heartbeats holds the time of the last heartbeat of each peer, by the peer's name.
-	heartbeats map[string]time.Time
+	// heartbeats holds the last heartbeat of each peer, by the peer's name.
+	heartbeats map[string]heartbeat
+}
+
+type heartbeat struct {
+	at            time.Time
+	electionDelay time.Duration
 }
 
 // New returns a Service that doesn't lead yet.
@@ -75,7 +82,7 @@
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
-	return &Service{Options: o, heartbeats: map[string]time.Time{}}
+	return &Service{Options: o, heartbeats: map[string]heartbeat{}}
 }
 
 // ErrNotLeader means that this process is not the leader and has done nothing.
@@ -208,7 +215,7 @@
 // heartbeat ends its leadership.
 func (s *Service) HandleHeartbeat(q peer.HeartbeatRequest) peer.HeartbeatReply {
 	s.mu.Lock()
-	s.heartbeats[q.From] = time.Now()
+	s.heartbeats[q.From] = heartbeat{time.Now(), q.ElectionDelay}
 	l := s.leadership
 	s.mu.Unlock()
 	if l == nil {
@@ -232,8 +239,8 @@
 func (s *Service) HeardRecently(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, ok := s.heartbeats[name]
-	return ok && time.Since(at) <= heartbeatMaxAge
+	h, ok := s.heartbeats[name]
+	return ok && time.Since(h.at) <= heartbeatMaxAge
 }
 
 // sampleSize is the number of values in the sample of a histogram.
@@ -254,8 +261,8 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	members, recent := 1, 1
-	for name, at := range s.heartbeats {
-		switch age := now.Sub(at); {
+	for name, h := range s.heartbeats {
+		switch age := now.Sub(h.at); {
 		case age > memberMaxAge:
 			delete(s.heartbeats, name)
 		case age <= quorumMaxAge:
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -66,7 +66,8 @@
 	defer cancel()
 	defer close(s.done)
 	var loops sync.WaitGroup
-	for _, f := range []func(context.Context){s.watchRules, s.watchFleet, s.planLoop, s.tickLoop, s.moveLoop} {
+	for _, f := range []func(context.Context){s.watchRules, s.watchFleet, s.planLoop, s.tickLoop, s.moveLoop,
+		s.handoverLoop} {
 		loops.Go(func() { f(ctx) })
 	}
 	s.commitLoop(ctx)
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -72,6 +72,8 @@
 	tracker LeaderTracker
 	peers   *peer.Client
 	log     *zap.Logger
+	// electionDelay returns the delay that heartbeats report; nil means 0.
+	electionDelay func() time.Duration
 
 	mu sync.Mutex
 	// lastReply is the last reply to a heartbeat, repliedAt when it came; failed heartbeats leave both unchanged.
@@ -90,6 +92,9 @@
 // SetLeaderTracker sets the source of the current leader; it must be called before Run.
 func (r *Router) SetLeaderTracker(t LeaderTracker) { r.tracker = t }
 
+// SetElectionDelay sets the source of the election delay that heartbeats report; it must be called before Run.
+func (r *Router) SetElectionDelay(f func() time.Duration) { r.electionDelay = f }
+
 // Serve registers the handlers of peers' calls.
 func (r *Router) Serve(s *peer.Server) {
 	peer.Handle(s, peer.MethodSubmit, func(ctx context.Context, q peer.SubmitRequest) (peer.JobReply, error) {
@@ -131,8 +136,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	reply, err := peer.Call(ctx, r.peers, leader.Address, peer.MethodHeartbeat,
-		peer.HeartbeatRequest{From: r.name, Term: leader.Term})
+	q := peer.HeartbeatRequest{From: r.name, Term: leader.Term}
+	if r.electionDelay != nil {
+		q.ElectionDelay = r.electionDelay()
+	}
+	reply, err := peer.Call(ctx, r.peers, leader.Address, peer.MethodHeartbeat, q)
 	r.handleHeartbeat(leader, reply, err)
 }
 
--- a/internal/state/elect/elect.go
+++ b/internal/state/elect/elect.go
@@ -15,7 +15,7 @@
 // Timeouts and intervals of an Elector.
 const (
 	// DefaultTakeoverTimeout is how long the leader record must stay unchanged, as read from a store that answers, before
-	// leadership is acquired; ElectionDelay is added to it. The leader confirms the record every ConfirmInterval.
+	// leadership is acquired; the election delay is added to it. The leader confirms the record every ConfirmInterval.
 	DefaultTakeoverTimeout = 1500 * time.Millisecond
 	// refusedTakeoverTimeout is the same if the leader itself reports that the store refuses it. When the store answers
 	// all instances again, the leader confirms the record first.
@@ -56,8 +56,9 @@
 	Self      Identity
 	Candidate Candidate
 	Detector  FailureDetector
-	// ElectionDelay delays the attempts of an instance that is less suitable as leader.
-	ElectionDelay time.Duration
+	// ElectionDelay returns by how much the attempts of this instance are delayed: the longer, the less suitable it is as
+	// leader now. Nil means 0.
+	ElectionDelay func() time.Duration
 	// ShuttingDown reports whether the process is about to exit and must not acquire leadership any more; it may be nil.
 	ShuttingDown func() bool
 	Log          *zap.Logger
@@ -146,7 +147,7 @@
 		return table.Item{}, false, err
 	}
 	if len(items) == 0 {
-		return table.Item{}, e.unchangedFor(0) >= e.ElectionDelay, nil
+		return table.Item{}, e.unchangedFor(0) >= e.electionDelay(), nil
 	}
 	r, err := decode(items[0])
 	if err != nil {
@@ -165,7 +166,14 @@
 	case e.Detector.StoreRefused(r.Term):
 		timeout = refusedTakeoverTimeout
 	}
-	return items[0], e.unchangedFor(items[0].Version) >= timeout+e.ElectionDelay, nil
+	return items[0], e.unchangedFor(items[0].Version) >= timeout+e.electionDelay(), nil
+}
+
+func (e *Elector) electionDelay() time.Duration {
+	if e.ElectionDelay == nil {
+		return 0
+	}
+	return e.ElectionDelay()
 }
 
 // unchangedFor notes that the record was just read at a version, 0 without a record, and returns how long it has been
--- a/internal/state/elect/elect_test.go
+++ b/internal/state/elect/elect_test.go
@@ -175,7 +175,7 @@
 		// Processes that start at the same moment may draw the same Boot.
 		self := elect.Identity{Name: name, Boot: "same", Address: name}
 		el := elect.NewElector(e.links[name], self, fakeCandidate{name, e.recorder}, detector(e.recorder), zap.NewNop())
-		el.ElectionDelay = delay
+		el.ElectionDelay = func() time.Duration { return delay }
 		e.electors[name] = el
 		go el.Run(ctx)
 	}
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -67,10 +67,12 @@
 	Count  int    `json:"count"`
 }
 
-// HeartbeatRequest tells the leader that a peer reaches it, and the highest term that the peer knows.
+// HeartbeatRequest tells the leader that a peer reaches it, the highest term that the peer knows, and the delay with
+// which the peer stands for election; an instance that is less suitable as leader has a longer one.
 type HeartbeatRequest struct {
-	From string `json:"from"`
-	Term int64  `json:"term"`
+	From          string        `json:"from"`
+	Term          int64         `json:"term"`
+	ElectionDelay time.Duration `json:"delay,omitempty"`
 }
 
 // HeartbeatReply states whether the called instance is the leader, the time since the store last confirmed its
@@ -127,8 +129,8 @@
 
 // Validate returns an error for an invalid message.
 func (q HeartbeatRequest) Validate() error {
-	if q.From == "" || q.Term < 0 {
-		return errors.Join(ErrInvalidMessage, errors.New("heartbeat without a sender or with a negative term"))
+	if q.From == "" || q.Term < 0 || q.ElectionDelay < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("heartbeat without a sender or with a negative term or delay"))
 	}
 	return nil
 }
