--- a/internal/serve/leader/history_test.go
+++ b/internal/serve/leader/history_test.go
@@ -28,6 +28,18 @@
 	service atomic.Pointer[leader.Service]
 	stop    context.CancelFunc
 	done    chan struct{}
+	// slow means that the process runs slowly, which its election delay shows.
+	slow atomic.Bool
+}
+
+// slowElectionDelay is the election delay of a slow process.
+const slowElectionDelay = time.Second
+
+func (e *entry) electionDelay() time.Duration {
+	if e.slow.Load() {
+		return slowElectionDelay
+	}
+	return 0
 }
 
 // cluster is a set of entry instances with a fake store and fake workers.
@@ -40,6 +52,8 @@
 	processes   int
 	// workers are the fakeWorkers as the leaders call them.
 	workers *recordingWorkers
+	// adjust changes the options of each new leader service.
+	adjust func(*leader.Options)
 }
 
 // noDetector knows nothing about the leader, so that the elector depends on the leader record alone.
@@ -50,6 +64,10 @@
 func (noDetector) StoreRefused(int64) bool  { return false }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
+	return newClusterWith(t, seed, func(*leader.Options) {})
+}
+
+func newClusterWith(t *testing.T, seed uint64, adjust func(*leader.Options)) *cluster {
 	var workers []work.Worker
 	for i := range 4 {
 		name := fmt.Sprintf("w%d", i)
@@ -57,7 +75,7 @@
 			Capacity: work.Need{CPU: 4000, Memory: 4000}})
 	}
 	c := &cluster{t: t, store: fakes.NewTable(), fakeWorkers: fakes.NewWorkers(seed, workers...),
-		rules: rules.NewCache()}
+		rules: rules.NewCache(), adjust: adjust}
 	c.workers = &recordingWorkers{Workers: c.fakeWorkers}
 	c.rules.Configure(work.NewConfig(work.Config{Version: 1,
 		Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}},
@@ -73,11 +91,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop, e.done = cancel, make(chan struct{})
 	c.processes++
-	s := leader.New(leader.Options{Store: e.link, Workers: c.workers, Fleet: c.fakeWorkers, Rules: c.rules,
-		Scheduler: engine.DefaultOptions(), Log: zap.NewNop()})
+	o := leader.Options{Store: e.link, Workers: c.workers, Fleet: c.fakeWorkers, Rules: c.rules,
+		Scheduler: engine.DefaultOptions(), ElectionDelay: e.electionDelay, Log: zap.NewNop()}
+	c.adjust(&o)
+	s := leader.New(o)
 	e.service.Store(s)
 	elector := elect.NewElector(e.link, elect.Identity{Name: e.name, Boot: fmt.Sprintf("%s.%d", e.name, c.processes),
 		Address: e.name}, s, noDetector{}, zap.NewNop())
+	elector.ElectionDelay = e.electionDelay
 	done := e.done
 	go func() {
 		defer close(done)
--- /dev/null
+++ b/internal/serve/leader/wave_test.go
@@ -0,0 +1,101 @@
+package leader_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/plan/shift"
+	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
+	"github.com/yuccahaven/yuccahaven/internal/state/rules"
+)
+
+// idleMachines are machines without workers whose maintenance begins at once and never ends, beside one machine for
+// each worker of the cluster.
+type idleMachines struct {
+	count int
+
+	mu         sync.Mutex
+	maintained map[string]int
+}
+
+func (m *idleMachines) name(i int) string { return fmt.Sprintf("m%02d", i) }
+
+// List implements leader.Machines.
+func (m *idleMachines) List(context.Context) ([]leader.Machine, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []leader.Machine
+	for i := range m.count {
+		maintained := m.maintained[m.name(i)] > 0
+		list = append(list, leader.Machine{Name: m.name(i), Pool: "off", Up: !maintained, InMaintenance: maintained})
+	}
+	for i := range 4 {
+		name := fmt.Sprintf("w%d", i)
+		list = append(list, leader.Machine{Name: name, Pool: "p", Up: true, Worker: name, Capacity: work.Need{CPU: 4000}})
+	}
+	return list, nil
+}
+
+// Move implements leader.Machines.
+func (m *idleMachines) Move(context.Context, string, string, int64) leader.Result {
+	return leader.Refused
+}
+
+// Maintain implements leader.Machines.
+func (m *idleMachines) Maintain(_ context.Context, machine string, _, _ int64) leader.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.maintained[machine]++
+	return leader.Started
+}
+
+// Report implements leader.Machines.
+func (m *idleMachines) Report(_ context.Context, _ int64, completed bool) error {
+	if completed {
+		return errors.New("no maintenance ends")
+	}
+	return nil
+}
+
+// Guards against jobs that are accepted late while a maintenance wave begins: the progress of the wave was stored by a
+// transaction of its own for each machine, and new jobs waited behind all of these.
+func TestWaveDoesNotDelayJobs(t *testing.T) {
+	machines := &idleMachines{count: 60, maintained: map[string]int{}}
+	testClusterWith(t, func(o *leader.Options) {
+		o.Machines = machines
+		o.Moves = leader.MoveOptions{Maintenance: 2 * time.Second, Shift: shift.Default()}
+	}, func(c *cluster) {
+		// The usual time of a transaction.
+		for _, e := range c.entries {
+			e.link.SetFaults(fakes.Faults{Delay: 10 * time.Millisecond})
+		}
+		wave := rules.Wave{Number: 1, Cap: machines.count, Within: time.Minute}
+		for i := range machines.count {
+			wave.Machines = append(wave.Machines, machines.name(i))
+		}
+		c.rules.AddWave(wave)
+		for i := range 20 {
+			if !c.accepts(i, 100*time.Millisecond) {
+				t.Errorf("job %d is not accepted within 100 ms of a transaction of 10 ms", i)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if len(machines.maintained) != machines.count {
+			t.Errorf("maintenance of %d machines began", len(machines.maintained))
+		}
+		// A later leader must know that the maintenance has begun.
+		c.kill(c.leader())
+		time.Sleep(20 * time.Second)
+		for name, n := range machines.maintained {
+			if n != 1 {
+				t.Errorf("the maintenance of %s began %d times", name, n)
+			}
+		}
+	})
+}
