leader: Hand over leadership from a process that runs slowly

Cause: an instance that gets a seventh of its processor time still confirms the leader record once in 1.5 s, which is all that leadership depended on. It stored jobs too late for their callers, and its timeouts took workers that answered for lost. When it lost leadership after 2 s an instance that was as slow followed, since the election delay counted nominal resources only. A gray failure: alive by every check, useless to its callers.

Now the election delay counts the measured speed of the process, and a leader releases leadership when a peer's delay is shorter by half a second, at the earliest 3 s after it took it. If all are slow, nothing changes.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -150,7 +150,7 @@
 	r := router.New(h.Name, h.Rules, h.leader, client, h.Log)
 	self := elect.Identity{Name: h.Name, Boot: h.Boot, Address: h.Peers}
 	e := elect.NewElector(h.Leader.Store, self, h.leader, r, h.Log)
-	e.ElectionDelay = func() time.Duration { return h.ElectionDelay(1) }
+	e.ElectionDelay = h.currentElectionDelay
 	e.ShuttingDown = h.shuttingDown.Load
 	r.SetLeaderTracker(e)
 	r.SetElectionDelay(h.currentElectionDelay)
--- a/internal/serve/leader/handover.go
+++ b/internal/serve/leader/handover.go
@@ -15,20 +15,24 @@
 	// handoverMargin is by how much a peer's election delay must be shorter than that of the leader. A change of the
 	// leader takes about as long.
 	handoverMargin = 500 * time.Millisecond
+	// minTenure is how long a leader stays at least. It bounds the changes of the leader when all instances become slow
+	// in turn, and covers the load of a takeover.
+	minTenure = 3 * time.Second
 )
 
-// handoverLoop reports when a peer becomes better suited as leader.
+// handoverLoop releases leadership when a peer is better suited as leader, for example because this process has become
+// slow. Such a leader would confirm the leader record in time and serve nobody.
 func (s *session) handoverLoop(ctx context.Context) {
-	reported := false
+	began := time.Now()
 	pace.After(ctx, handoverCheckInterval, func(context.Context) {
 		own := s.service.electionDelay()
 		peer, delay, ok := s.service.mostSuitablePeer()
-		better := ok && delay+handoverMargin <= own
-		if better && !reported {
-			s.log.Warn("leader: another instance is better suited to lead", zap.String("peer", peer),
-				zap.Duration("own", own), zap.Duration("delay", delay))
+		if !ok || delay+handoverMargin > own || time.Since(began) < minTenure || s.leadership.Lost() {
+			return
 		}
-		reported = better
+		s.log.Warn("leader: another instance is better suited to lead, releasing leadership", zap.String("peer", peer),
+			zap.Duration("own", own), zap.Duration("delay", delay))
+		s.stepDown(ctx)
 	})
 }
 
