--- a/internal/serve/leader/handover_test.go
+++ b/internal/serve/leader/handover_test.go
@@ -87,7 +87,7 @@
 	testCluster(t, func(c *cluster) {
 		former := c.leader()
 		former.setSlow(true)
-		// A transaction and the release, up to 800 ms each, reads of the leader record 250 ms apart, jitter and the load.
+		// Callers give up after 3 s.
 		time.Sleep(2500 * time.Millisecond)
 		for i := range 10 {
 			if !c.accepts(i, 300*time.Millisecond) {
@@ -111,7 +111,8 @@
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			if c.leader() != former {
-				t.Fatal("leadership changed although no instance is better suited")
+				t.Error("leadership changed although no instance is better suited")
+				return
 			}
 		}
 		changes := 0
