leader: Store the progress of waves with the other changes

Cause: each machine whose maintenance begins stored the progress of the whole wave by a transaction of its own, 63 within a second here, and the transactions of a leader go one after the other. A queue in front of the callers' work that nobody waits for: head-of-line blocking.

Progress now goes into the next transaction of the commit loop, once for all machines since the last. Completion too. Other writers of the leader were looked at: the load and the release write while there are no jobs to store.

--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -96,7 +96,7 @@
 }
 
 // mover decides on the operations on machines and calls the platform for them. The session's mu guards its fields; all
-// methods but pass, refreshMachines, call, storeProgress and expectedDowntime must be called with mu held.
+// methods but pass, refreshMachines, call and expectedDowntime must be called with mu held.
 type mover struct {
 	session  *session
 	planner  *shift.Planner
@@ -260,6 +260,7 @@
 		}
 		if w := m.waves[op.wave]; w != nil && op.wave != 0 {
 			w.MarkStarted(op.machine)
+			s.storeProgress(op.wave)
 		}
 	case Busy:
 		m.busyUntil[op.machine] = time.Now().Add(busyBackoff)
@@ -278,9 +279,6 @@
 		m.releaseOperation(op)
 	}
 	s.mu.Unlock()
-	if result == Started && op.wave != 0 {
-		m.storeProgress(ctx, op.wave)
-	}
 }
 
 // releaseOperation removes an operation and uncordons its worker.
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -32,7 +32,7 @@
 	leadership *elect.Leadership
 	log        *zap.Logger
 
-	// mu guards scheduler, renewals, committed, steppingDown and waves.
+	// mu guards scheduler, renewals, committed, steppingDown, waves and changedWaves.
 	mu        sync.Mutex
 	scheduler *engine.Scheduler
 	// renewals are the wake channels of the renewal loops, one for each tracked worker.
@@ -43,6 +43,8 @@
 	authorizing  sync.Mutex
 	steppingDown bool
 	waves        map[int64]*waveState
+	// changedWaves are the numbers of the waves whose progress is to be stored.
+	changedWaves map[int64]bool
 	// transactions is used by the commit loop only.
 	transactions txLog
 
@@ -55,7 +57,7 @@
 	return &session{
 		service: s, leadership: l, log: s.Log, scheduler: engine.New(s.Options.Scheduler, l.Term(), s.Log),
 		renewals: map[work.WorkerID]chan struct{}{}, committed: make(chan struct{}),
-		waves: map[int64]*waveState{}, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
+		waves: map[int64]*waveState{}, changedWaves: map[int64]bool{}, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 		done: make(chan struct{}), transactions: txLog{log: s.Log},
 	}
 }
@@ -182,7 +184,7 @@
 	defer confirm.Stop()
 	for {
 		s.mu.Lock()
-		dirty := s.scheduler.Dirty()
+		dirty := s.scheduler.Dirty() || len(s.changedWaves) > 0
 		s.mu.Unlock()
 		if dirty {
 			return
@@ -200,6 +202,7 @@
 func (s *session) commit(ctx context.Context) error {
 	s.mu.Lock()
 	batch, err := s.scheduler.Batch()
+	batch.Writes = append(batch.Writes, s.takeWaveWrites()...)
 	s.mu.Unlock()
 	if err != nil {
 		return err
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -32,17 +32,34 @@
 	reported  bool
 }
 
-// storeProgress stores in which machines of a wave the maintenance has started and whether the wave is completed.
-func (m *mover) storeProgress(ctx context.Context, wave int64) {
-	m.session.mu.Lock()
-	value, err := json.Marshal(m.waves[wave])
-	m.session.mu.Unlock()
-	if err == nil {
-		_, err = m.session.leadership.Commit(ctx, []table.Write{{Key: prefixWave + strconv.FormatInt(wave, 10), Value: value}})
-	}
-	if err != nil && ctx.Err() == nil {
-		m.session.log.Warn("leader: storing the progress of a wave failed", zap.Int64("wave", wave), zap.Error(err))
+// maxWaveWrites is the largest number of waves whose progress one transaction stores. A transaction of the store has
+// room for a few rows beside those of the scheduler.
+const maxWaveWrites = 4
+
+// storeProgress has the next transaction store in which machines of a wave the maintenance has started and whether the
+// wave is completed; s.mu must be held. Progress shares the transactions of the jobs, since a transaction for each
+// machine would delay new jobs.
+func (s *session) storeProgress(wave int64) {
+	s.changedWaves[wave] = true
+	wake(s.commitWake)
+}
+
+// takeWaveWrites returns the writes with the changed progress of waves for the next transaction; s.mu must be held.
+func (s *session) takeWaveWrites() []table.Write {
+	var writes []table.Write
+	for wave := range s.changedWaves {
+		if len(writes) == maxWaveWrites {
+			break
+		}
+		delete(s.changedWaves, wave)
+		value, err := json.Marshal(s.waves[wave])
+		if err != nil {
+			s.log.Error("leader: encoding the progress of a wave failed, not stored", zap.Int64("wave", wave), zap.Error(err))
+			continue
+		}
+		writes = append(writes, table.Write{Key: prefixWave + strconv.FormatInt(wave, 10), Value: value})
 	}
+	return writes
 }
 
 // restoreWaves restores the progress of the waves that a former leader stored.
@@ -166,6 +183,10 @@
 			state.reported = true
 			state.Completed = completed
 		}
+		if state.Completed {
+			m.session.storeProgress(number)
+		}
+		machines := len(state.Done)
 		m.session.mu.Unlock()
 		switch {
 		case err != nil:
@@ -174,8 +195,7 @@
 					zap.Error(err))
 			}
 		case completed:
-			m.session.log.Info("leader: wave completed", zap.Int64("wave", number), zap.Int("machines", len(state.Done)))
-			m.storeProgress(ctx, number)
+			m.session.log.Info("leader: wave completed", zap.Int64("wave", number), zap.Int("machines", machines))
 		}
 	}()
 }
