leader, elect: Offer leadership to a chosen peer

The leader now asks the peer with the shortest election delay to take over. The peer decides by its own present speed, so that the leader does not depend on an old heartbeat, and acquires leadership at once by its conditional write; whether the former leader has released it does not matter. A planned stop does the same. If no peer accepts, or the offer is lost, the release and the time-outs work as before; an instance of the former build does not know the call and counts as declining.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -153,7 +153,8 @@
 	e.ElectionDelay = h.currentElectionDelay
 	e.ShuttingDown = h.shuttingDown.Load
 	r.SetLeaderTracker(e)
-	r.SetElectionDelay(h.currentElectionDelay)
+	r.SetCandidacy(h.Peers, h.currentElectionDelay)
+	h.leader.OfferLeadership = r.OfferLeadership
 	a := &elect.Announcer{Store: h.Leader.Store, Self: self, HeardRecently: h.leader.HeardRecently,
 		AnnounceLeader: r.AnnounceLeader, Log: h.Log,
 		Leader: func() (elect.LeaderRecord, bool) {
--- a/internal/serve/leader/handover.go
+++ b/internal/serve/leader/handover.go
@@ -1,49 +1,71 @@
 package leader
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/pace"
+	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 )
 
 const (
 	// handoverCheckInterval is the time between two checks for a peer that is better suited as leader.
 	handoverCheckInterval = 100 * time.Millisecond
-	// handoverMargin is by how much a peer's election delay must be shorter than that of the leader. A change of the
-	// leader takes about as long.
-	handoverMargin = 500 * time.Millisecond
 	// minTenure is how long a leader stays at least. It bounds the changes of the leader when all instances become slow
 	// in turn, and covers the load of a takeover.
 	minTenure = 3 * time.Second
-	// noticeTime is how long after this process became slow a peer's heartbeat must have come to count. A peer that became
-	// slow at the same time has noticed by then.
-	noticeTime = 200 * time.Millisecond
+	// noticeTime is how long after it became slow a leader offers leadership: a peer that became slow at the same time has
+	// noticed by then and declines.
+	noticeTime = 150 * time.Millisecond
+	// offerTimeout bounds one offer, maxOffers the offers in a check.
+	offerTimeout = 200 * time.Millisecond
+	maxOffers    = 3
+	// leavingElectionDelay is the election delay in the offers of an instance that shuts down, longer than any other.
+	leavingElectionDelay = time.Hour
 )
 
-// handoverLoop releases leadership when a peer is better suited as leader, for example because this process has become
-// slow. Such a leader would confirm the leader record in time and serve nobody.
+// handoverLoop hands over leadership when a peer is better suited as leader, for example because this process has
+// become slow. Such a leader would confirm the leader record in time and serve nobody.
 func (s *session) handoverLoop(ctx context.Context) {
 	began := time.Now()
 	suitedUntil := began
-	pace.After(ctx, handoverCheckInterval, func(context.Context) {
+	pace.After(ctx, handoverCheckInterval, func(ctx context.Context) {
 		own := s.service.electionDelay()
-		if own < handoverMargin {
-			suitedUntil = time.Now()
-			return
+		now := time.Now()
+		if own < elect.HandoverMargin {
+			suitedUntil = now
 		}
-		peer, delay, ok := s.service.mostSuitablePeer(suitedUntil.Add(noticeTime))
-		if !ok || delay+handoverMargin > own || time.Since(began) < minTenure || s.leadership.Lost() {
+		if now.Sub(suitedUntil) < noticeTime || now.Sub(began) < minTenure || s.leadership.Lost() {
 			return
 		}
-		s.log.Warn("leader: another instance is better suited to lead, releasing leadership", zap.String("peer", peer),
-			zap.Duration("own", own), zap.Duration("delay", delay))
-		s.stepDown(ctx)
+		if s.offer(ctx, own) {
+			s.stepDown(ctx)
+		}
 	})
 }
 
+// offer offers leadership to the most suitable peers in turn, with this instance's election delay, until one accepts.
+func (s *session) offer(ctx context.Context, own time.Duration) bool {
+	if s.service.OfferLeadership == nil {
+		return false
+	}
+	for _, p := range s.service.suitablePeers(own) {
+		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
+		accepted, err := s.service.OfferLeadership(callCtx, p.address, own)
+		cancel()
+		s.log.Info("leader: offered leadership to a better suited instance", zap.String("peer", p.name),
+			zap.Bool("accepted", accepted), zap.Duration("own", own), zap.Duration("delay", p.electionDelay), zap.Error(err))
+		if accepted {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Service) electionDelay() time.Duration {
 	if s.ElectionDelay == nil {
 		return 0
@@ -51,17 +73,25 @@
 	return s.ElectionDelay()
 }
 
-// mostSuitablePeer returns the peer with the shortest election delay among those with a recent heartbeat that came after
-// a time, and that delay; false without any.
-func (s *Service) mostSuitablePeer(after time.Time) (string, time.Duration, bool) {
+// candidate is a peer that may take over leadership.
+type candidate struct {
+	name, address string
+	electionDelay time.Duration
+}
+
+// suitablePeers returns up to maxOffers peers whose last heartbeat is recent and tells of an election delay shorter
+// than another by the margin, the shortest first.
+func (s *Service) suitablePeers(own time.Duration) []candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best string
-	var shortest time.Duration
+	var peers []candidate
 	for name, h := range s.heartbeats {
-		if h.at.After(after) && time.Since(h.at) <= heartbeatMaxAge && (best == "" || h.electionDelay < shortest) {
-			best, shortest = name, h.electionDelay
+		if h.address != "" && time.Since(h.at) <= heartbeatMaxAge && h.electionDelay+elect.HandoverMargin <= own {
+			peers = append(peers, candidate{name, h.address, h.electionDelay})
 		}
 	}
-	return best, shortest, best != ""
+	slices.SortFunc(peers, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.electionDelay, b.electionDelay), cmp.Compare(a.name, b.name))
+	})
+	return peers[:min(len(peers), maxOffers)]
 }
--- a/internal/serve/leader/handover_test.go
+++ b/internal/serve/leader/handover_test.go
@@ -19,7 +19,8 @@
 		for _, from := range c.entries {
 			for _, to := range c.entries {
 				if from != to {
-					to.service.Load().HandleHeartbeat(peer.HeartbeatRequest{From: from.name, ElectionDelay: from.electionDelay()})
+					to.service.Load().HandleHeartbeat(peer.HeartbeatRequest{From: from.name, Address: from.name,
+						ElectionDelay: from.electionDelay()})
 				}
 			}
 		}
--- a/internal/serve/leader/history_test.go
+++ b/internal/serve/leader/history_test.go
@@ -26,6 +26,7 @@
 	link *fakes.Link
 	// service is that of the current process; callers read it while a new process starts.
 	service atomic.Pointer[leader.Service]
+	elector atomic.Pointer[elect.Elector]
 	stop    context.CancelFunc
 	done    chan struct{}
 	// slow means that the process runs slowly, which its election delay shows.
@@ -92,13 +93,17 @@
 	e.stop, e.done = cancel, make(chan struct{})
 	c.processes++
 	o := leader.Options{Store: e.link, Workers: c.workers, Fleet: c.fakeWorkers, Rules: c.rules,
-		Scheduler: engine.DefaultOptions(), ElectionDelay: e.electionDelay, Log: zap.NewNop()}
+		Scheduler: engine.DefaultOptions(), ElectionDelay: e.electionDelay, Log: zap.NewNop(),
+		OfferLeadership: func(_ context.Context, address string, delay time.Duration) (bool, error) {
+			return c.offer(e.name, address, delay), nil
+		}}
 	c.adjust(&o)
 	s := leader.New(o)
 	e.service.Store(s)
 	elector := elect.NewElector(e.link, elect.Identity{Name: e.name, Boot: fmt.Sprintf("%s.%d", e.name, c.processes),
 		Address: e.name}, s, noDetector{}, zap.NewNop())
 	elector.ElectionDelay = e.electionDelay
+	e.elector.Store(elector)
 	done := e.done
 	go func() {
 		defer close(done)
@@ -106,6 +111,18 @@
 	}()
 }
 
+// offer offers leadership of an instance to that at an address and reports whether the latter accepts.
+func (c *cluster) offer(from, address string, delay time.Duration) bool {
+	for _, e := range c.entries {
+		if e.name == address {
+			elector := e.elector.Load()
+			r, ok := elector.Leader()
+			return ok && r.Name == from && elector.AcceptOffer(r, delay)
+		}
+	}
+	return false
+}
+
 func (c *cluster) kill(e *entry) {
 	e.stop()
 	<-e.done
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -54,6 +54,9 @@
 	Moves      MoveOptions
 	// ElectionDelay returns the delay with which this instance stands for election now; nil means 0.
 	ElectionDelay func() time.Duration
+	// OfferLeadership offers leadership to the peer at an address, with this instance's election delay, and reports
+	// whether the peer accepts; nil means that none does.
+	OfferLeadership func(ctx context.Context, address string, delay time.Duration) (bool, error)
 	// Registry may be nil; then the Service creates one.
 	Registry metrics.Registry
 	Log      *zap.Logger
@@ -74,6 +77,7 @@
 
 type heartbeat struct {
 	at            time.Time
+	address       string
 	electionDelay time.Duration
 }
 
@@ -215,7 +219,7 @@
 // heartbeat ends its leadership.
 func (s *Service) HandleHeartbeat(q peer.HeartbeatRequest) peer.HeartbeatReply {
 	s.mu.Lock()
-	s.heartbeats[q.From] = heartbeat{time.Now(), q.ElectionDelay}
+	s.heartbeats[q.From] = heartbeat{time.Now(), q.Address, q.ElectionDelay}
 	l := s.leadership
 	s.mu.Unlock()
 	if l == nil {
@@ -275,9 +279,10 @@
 	return members > 1 && 2*recent > members
 }
 
-// StepDown releases leadership if this process leads and has loaded the stored state.
+// StepDown hands over or releases leadership if this process leads and has loaded the stored state.
 func (s *Service) StepDown(ctx context.Context) {
 	if ss := s.current(); ss != nil {
+		ss.offer(ctx, leavingElectionDelay)
 		ss.stepDown(ctx)
 	}
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -60,6 +60,7 @@
 type LeaderTracker interface {
 	Leader() (elect.LeaderRecord, bool)
 	ObserveLeader(r elect.LeaderRecord)
+	AcceptOffer(r elect.LeaderRecord, leaderDelay time.Duration) bool
 	Wake()
 }
 
@@ -72,7 +73,8 @@
 	tracker LeaderTracker
 	peers   *peer.Client
 	log     *zap.Logger
-	// electionDelay returns the delay that heartbeats report; nil means 0.
+	// address and electionDelay are what heartbeats report; nil means 0.
+	address       string
 	electionDelay func() time.Duration
 
 	mu sync.Mutex
@@ -92,8 +94,11 @@
 // SetLeaderTracker sets the source of the current leader; it must be called before Run.
 func (r *Router) SetLeaderTracker(t LeaderTracker) { r.tracker = t }
 
-// SetElectionDelay sets the source of the election delay that heartbeats report; it must be called before Run.
-func (r *Router) SetElectionDelay(f func() time.Duration) { r.electionDelay = f }
+// SetCandidacy sets what heartbeats report: the address at which peers reach this instance, and its election delay. It
+// must be called before Run.
+func (r *Router) SetCandidacy(address string, electionDelay func() time.Duration) {
+	r.address, r.electionDelay = address, electionDelay
+}
 
 // Serve registers the handlers of peers' calls.
 func (r *Router) Serve(s *peer.Server) {
@@ -117,6 +122,10 @@
 		r.tracker.ObserveLeader(elect.LeaderRecord{Name: q.Name, Boot: q.Boot, Address: q.Address, Term: q.Term})
 		return peer.AnnounceReply{}, nil
 	})
+	peer.Handle(s, peer.MethodOffer, func(_ context.Context, q peer.OfferRequest) (peer.OfferReply, error) {
+		record := elect.LeaderRecord{Name: q.Name, Boot: q.Boot, Address: q.Address, Term: q.Term}
+		return peer.OfferReply{Accepted: r.tracker.AcceptOffer(record, q.ElectionDelay)}, nil
+	})
 }
 
 // AnnounceLeader sends the leader record to the instance at an address.
@@ -126,6 +135,18 @@
 	return err
 }
 
+// OfferLeadership offers the leadership of this process to the instance at an address and reports whether that
+// accepts.
+func (r *Router) OfferLeadership(ctx context.Context, address string, delay time.Duration) (bool, error) {
+	leader, ok := r.tracker.Leader()
+	if !ok {
+		return false, errNoLeader
+	}
+	reply, err := peer.Call(ctx, r.peers, address, peer.MethodOffer, peer.OfferRequest{Name: leader.Name, Boot: leader.Boot,
+		Address: leader.Address, Term: leader.Term, ElectionDelay: delay})
+	return reply.Accepted, err
+}
+
 // Run sends heartbeats to the leader until the context ends, except while this process leads or no leader is known.
 func (r *Router) Run(ctx context.Context) { pace.Every(ctx, heartbeatInterval, nil, r.sendHeartbeat) }
 
@@ -136,7 +157,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	q := peer.HeartbeatRequest{From: r.name, Term: leader.Term}
+	q := peer.HeartbeatRequest{From: r.name, Address: r.address, Term: leader.Term}
 	if r.electionDelay != nil {
 		q.ElectionDelay = r.electionDelay()
 	}
--- a/internal/serve/router/router_test.go
+++ b/internal/serve/router/router_test.go
@@ -87,6 +87,8 @@
 func (t *fakeTracker) ObserveLeader(elect.LeaderRecord)   {}
 func (t *fakeTracker) Wake()                              { *t++ }
 
+func (t *fakeTracker) AcceptOffer(elect.LeaderRecord, time.Duration) bool { return false }
+
 // Guards against a leader that counts as alive although it can't confirm its leadership, and against one that is
 // replaced after a single refused transaction.
 func TestHandleHeartbeat(t *testing.T) {
--- a/internal/state/elect/elect.go
+++ b/internal/state/elect/elect.go
@@ -65,6 +65,9 @@
 
 	record atomic.Pointer[LeaderRecord]
 	wake   chan struct{}
+	// offer is the last accepted offer, offered is signalled when one comes.
+	offer   atomic.Pointer[offer]
+	offered chan struct{}
 	// version is that of the record in the last read, and unchangedSince when that version was first read. The zero
 	// time means that this is unknown.
 	version        uint64
@@ -73,7 +76,8 @@
 
 // NewElector returns an elector.
 func NewElector(store table.Table, self Identity, c Candidate, detector FailureDetector, log *zap.Logger) *Elector {
-	return &Elector{Store: store, Self: self, Candidate: c, Detector: detector, Log: log, wake: make(chan struct{}, 1)}
+	return &Elector{Store: store, Self: self, Candidate: c, Detector: detector, Log: log,
+		wake: make(chan struct{}, 1), offered: make(chan struct{}, 1)}
 }
 
 // Leader returns the last known leader record, read from the store or received from a peer, and false if none is known.
@@ -117,6 +121,8 @@
 		interval := readInterval
 		switch r := e.record.Load(); {
 		case r == nil || r.Released:
+		case e.hasOffer(r.Term):
+			interval = offerRetryInterval
 		case e.Detector.Alive(r.Term):
 			interval = aliveReadInterval
 		case e.Detector.ProcessExited(r.Term):
@@ -131,6 +137,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-e.offered:
 	case <-e.wake:
 		// Every failed call wakes the elector; the pause keeps these wakes from causing a stream of reads.
 		_ = sleepJittered(ctx, min(d, readInterval))
@@ -157,6 +164,9 @@
 	if old := e.record.Load(); old == nil || r.Term >= old.Term {
 		e.record.Store(&r)
 	}
+	if e.hasOffer(r.Term) {
+		return items[0], true, nil
+	}
 	timeout := DefaultTakeoverTimeout
 	switch {
 	case r.Released || r.Name == e.Self.Name && r.Boot == e.Self.Boot:
@@ -190,8 +200,10 @@
 	if e.ShuttingDown != nil && e.ShuttingDown() {
 		return
 	}
-	if err := sleepJittered(ctx, maxAcquireJitter); err != nil {
-		return
+	if !e.hasOffer(e.knownTerm()) {
+		if err := sleepJittered(ctx, maxAcquireJitter); err != nil {
+			return
+		}
 	}
 	l, err := Acquire(ctx, e.Store, e.Self, item)
 	if err != nil {
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -7,13 +7,14 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 )
 
-// The calls that entry instances make to the leader, and MethodAnnounce, which the leader calls on them.
+// The calls that entry instances make to the leader, and MethodAnnounce and MethodOffer, which the leader calls on them.
 const (
 	MethodSubmit    Method[SubmitRequest, JobReply]          = "/yuccahaven.Peer/Submit"
 	MethodJob       Method[JobRequest, JobReply]             = "/yuccahaven.Peer/Job"
 	MethodWaiting   Method[WaitingRequest, WaitingReply]     = "/yuccahaven.Peer/Waiting"
 	MethodHeartbeat Method[HeartbeatRequest, HeartbeatReply] = "/yuccahaven.Peer/Beat"
 	MethodAnnounce  Method[AnnounceRequest, AnnounceReply]   = "/yuccahaven.Peer/Seat"
+	MethodOffer     Method[OfferRequest, OfferReply]         = "/yuccahaven.Peer/Offer"
 )
 
 // Result is the result of a call about a job.
@@ -68,9 +69,11 @@
 }
 
 // HeartbeatRequest tells the leader that a peer reaches it, the highest term that the peer knows, and the delay with
-// which the peer stands for election; an instance that is less suitable as leader has a longer one.
+// which the peer stands for election; an instance that is less suitable as leader has a longer one. Address is where
+// the leader reaches the peer.
 type HeartbeatRequest struct {
 	From          string        `json:"from"`
+	Address       string        `json:"address,omitempty"`
 	Term          int64         `json:"term"`
 	ElectionDelay time.Duration `json:"delay,omitempty"`
 }
@@ -110,6 +113,32 @@
 // Validate returns an error for an invalid message.
 func (AnnounceReply) Validate() error { return nil }
 
+// OfferRequest offers leadership to an instance: the leader's address and term, and the delay with which it would stand
+// for election.
+type OfferRequest struct {
+	Name          string        `json:"name"`
+	Boot          string        `json:"boot"`
+	Address       string        `json:"address"`
+	Term          int64         `json:"term"`
+	ElectionDelay time.Duration `json:"delay"`
+}
+
+// OfferReply states whether the instance acquires leadership now. It declines if it is hardly better suited.
+type OfferReply struct {
+	Accepted bool `json:"taken"`
+}
+
+// Validate returns an error for an invalid message.
+func (q OfferRequest) Validate() error {
+	if q.Boot == "" || q.Address == "" || q.Term < 1 || q.ElectionDelay < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("offer without a boot, address or term, or with a negative delay"))
+	}
+	return nil
+}
+
+// Validate returns an error for an invalid message.
+func (OfferReply) Validate() error { return nil }
+
 // Validate returns an error for an invalid message.
 func (q JobRequest) Validate() error { return q.ID.Validate() }
 
