plan/shift: Move machines for the demand that will arrive after a move

Nothing was slow or away: processes, store and transactions were as usual.

Cause: machines were asked for when the work was there. Demand rises within about 4 s to 5.2 million thousandths of a core, and a machine takes 1.5 s to move, so that the pool had the machines of 2 s before all the way up, and a backlog on top. A control loop that acts on the present through a dead time.

A pool in a burst now requires what will arrive when a machine that moves now is ready: the present demand, for which the fast average is late by its time constant, and the rise since, at most twice the demand. The lead is that of a move of the settings and one decision.

testdata/rise failed before: the first machines were asked for a second later. testdata/turns: a step of demand looks like a steep rise, so the pool in its turn gets 14 machines instead of 6 for the 15 that it needs, and the next one all that are free; what the script guards against, machines that come after the burst or stay behind it, is as before.

--- a/internal/plan/shift/shift.go
+++ b/internal/plan/shift/shift.go
@@ -1,7 +1,7 @@
 // Package shift decides which machines move between pools to follow the demand. It does no I/O.
 //
 // Pools take turns in high demand, which changes faster than a pool's own machines can serve it, and a move takes less
-// than two seconds. Decisions are therefore based on the work that arrives and waits now.
+// than two seconds. Decisions are therefore based on the work that arrives and waits now, and on how quickly it rises.
 package shift
 
 import (
@@ -22,11 +22,20 @@
 	// ReleaseDelay is how long after a burst a pool keeps machines that it no longer needs, unless another pool needs
 	// them.
 	ReleaseDelay time.Duration
+	// Lead is how long it takes until tasks run on a machine that is to move.
+	Lead time.Duration
+}
+
+// WithLead returns the options with another Lead.
+func (o Options) WithLead(d time.Duration) Options {
+	o.Lead = d
+	return o
 }
 
 // Default returns the default options; docs/note-platform.md gives the reasons.
 func Default() Options {
-	return Options{BacklogTime: time.Second, Headroom: 0.15, MinMachines: 2, ReleaseDelay: 2 * time.Second}
+	return Options{BacklogTime: time.Second, Headroom: 0.15, MinMachines: 2, ReleaseDelay: 2 * time.Second,
+		Lead: 1700 * time.Millisecond}
 }
 
 // Demand is the demand for one pool.
@@ -130,11 +139,11 @@
 	return moves
 }
 
-// requiredCPU returns the CPU that a pool should have: for the work that arrives or for the work that runs and waits,
-// whichever is more, with the headroom, and for long-running tasks.
+// requiredCPU returns the CPU that a pool should have: for the work that will arrive when a machine that moves now is
+// ready, or for the work that runs and waits, whichever is more, with the headroom, and for long-running tasks.
 func (p *Planner) requiredCPU(o *pool) float64 {
 	backlog := float64(o.demand.Waiting) / max(p.options.BacklogTime.Seconds(), 0.1)
-	current := max(o.trend.fastRate, float64(o.demand.Running)+backlog)
+	current := max(o.trend.forecast(p.options.Lead), float64(o.demand.Running)+backlog)
 	return current*(1+p.options.Headroom) + float64(o.demand.LongRunning)
 }
 
--- a/internal/plan/shift/shift_test.go
+++ b/internal/plan/shift/shift_test.go
@@ -22,7 +22,8 @@
 }
 
 // TestScripts guards against machines that stay in pools that don't need them while another pool's demand is high,
-// against pools that lose machines that their long-running tasks need, and against repeated moves of refused machines.
+// against pools that lose machines that their long-running tasks need, against repeated moves of refused machines, and
+// against machines that come a move's time after the demand that they are for.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &simulation{t: t, planner: New(Default()), now: time.Unix(1000, 0),
@@ -88,7 +89,7 @@
 }
 
 // simulate decides five times per second for a time span and counts the moves; arrivals are given as
-// "pool=core-milliseconds per second".
+// "pool=core-milliseconds per second", or "pool=from..to" if they change evenly over the span.
 func (s *simulation) simulate(d *datadriven.TestData) string {
 	const step = 200 * time.Millisecond
 	span, err := time.ParseDuration(d.CmdArgs[0].Key)
@@ -96,9 +97,16 @@
 		s.t.Fatal(err)
 	}
 	moves := map[string]int{}
+	began := s.now
 	for end := s.now.Add(span); s.now.Before(end); s.now = s.now.Add(step) {
 		for _, a := range d.CmdArgs[1:] {
-			s.arrived[a.Key] += float64(s.number(a.Vals[0])) * step.Seconds()
+			from, to, changes := strings.Cut(a.Vals[0], "..")
+			if !changes {
+				to = from
+			}
+			progress := s.now.Sub(began).Seconds() / span.Seconds()
+			rate := float64(s.number(from)) + progress*float64(s.number(to)-s.number(from))
+			s.arrived[a.Key] += rate * step.Seconds()
 		}
 		var demands []Demand
 		for _, x := range s.demands {
--- a/internal/plan/shift/trend.go
+++ b/internal/plan/shift/trend.go
@@ -7,14 +7,17 @@
 
 const (
 	// fastTimeConstant and slowTimeConstant are the time constants of the two moving averages whose comparison
-	// detects bursts.
+	// detects bursts. That with midTimeConstant shows, beside the fast one, how quickly demand rises.
 	fastTimeConstant = 700 * time.Millisecond
+	midTimeConstant  = 1500 * time.Millisecond
 	slowTimeConstant = 15 * time.Second
 	// burstStartRatio and burstEndRatio are the multiples of the slow average at which a burst starts and ends.
 	burstStartRatio = 2
 	burstEndRatio   = 0.8
 	// minBurstRate is the demand below which no burst starts, in thousandths of a core; below half of it a burst ends.
 	minBurstRate = 32000
+	// maxForecastRatio bounds a forecast, as a multiple of the present demand: a sudden step looks like a steep rise.
+	maxForecastRatio = 2
 )
 
 // trend is the demand history of a pool.
@@ -22,9 +25,9 @@
 	observedAt time.Time
 	// arrivedWork is the total at observedAt, in core-milliseconds.
 	arrivedWork float64
-	// fastRate and slowRate are moving averages of the arriving work, in thousandths of a core.
-	fastRate, slowRate float64
-	bursting           bool
+	// fastRate, midRate and slowRate are moving averages of the arriving work, in thousandths of a core.
+	fastRate, midRate, slowRate float64
+	bursting                    bool
 	// burstEndedAt is when a burst last ended, also while another one lasts; zero if none has ended.
 	burstEndedAt time.Time
 }
@@ -41,8 +44,12 @@
 	}
 	rate := max(arrivedWork-t.arrivedWork, 0) / elapsed.Seconds()
 	t.observedAt, t.arrivedWork = now, arrivedWork
-	t.fastRate += (1 - math.Exp(-elapsed.Seconds()/fastTimeConstant.Seconds())) * (rate - t.fastRate)
-	t.slowRate += (1 - math.Exp(-elapsed.Seconds()/slowTimeConstant.Seconds())) * (rate - t.slowRate)
+	follow := func(average *float64, timeConstant time.Duration) {
+		*average += (1 - math.Exp(-elapsed.Seconds()/timeConstant.Seconds())) * (rate - *average)
+	}
+	follow(&t.fastRate, fastTimeConstant)
+	follow(&t.midRate, midTimeConstant)
+	follow(&t.slowRate, slowTimeConstant)
 	switch {
 	case !t.bursting && t.fastRate > max(burstStartRatio*t.slowRate, minBurstRate):
 		t.bursting = true
@@ -50,3 +57,13 @@
 		t.bursting, t.burstEndedAt = false, now
 	}
 }
+
+// forecast returns the work that will arrive after a lead time, in thousandths of a core. While demand rises in a
+// burst, it continues the rise from the present, of which the fast average is late by its time constant.
+func (t *trend) forecast(lead time.Duration) float64 {
+	rise := (t.fastRate - t.midRate) / (midTimeConstant - fastTimeConstant).Seconds()
+	if !t.bursting || rise <= 0 {
+		return t.fastRate
+	}
+	return min(t.fastRate+rise*(fastTimeConstant+lead).Seconds(), maxForecastRatio*t.fastRate)
+}
