leader: Treat an offer without a reply as accepted

Workers refuse such a leader, but the platform's machine service does not check fencing tokens on every deployment, so that two leaders could have moved machines in turn.

It now steps down unless all peers decline, and starts no machine operation while an offer is open. TestLostReplyToOffer failed before (the former leader answered a submission with "open").

--- a/internal/serve/leader/handover.go
+++ b/internal/serve/leader/handover.go
@@ -48,24 +48,34 @@
 	})
 }
 
-// offer offers leadership to the most suitable peers in turn, with this instance's election delay, until one accepts.
+// offer offers leadership to the most suitable peers in turn, with this instance's election delay. It reports whether
+// one has accepted or may have, since an offer without a reply may have arrived.
 func (s *session) offer(ctx context.Context, own time.Duration) bool {
-	if s.service.OfferLeadership == nil {
+	peers := s.service.suitablePeers(own)
+	if s.service.OfferLeadership == nil || len(peers) == 0 {
 		return false
 	}
-	for _, p := range s.service.suitablePeers(own) {
+	s.setHandingOver(true)
+	for _, p := range peers {
 		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
 		accepted, err := s.service.OfferLeadership(callCtx, p.address, own)
 		cancel()
 		s.log.Info("leader: offered leadership to a better suited instance", zap.String("peer", p.name),
 			zap.Bool("accepted", accepted), zap.Duration("own", own), zap.Duration("delay", p.electionDelay), zap.Error(err))
-		if accepted {
+		if accepted || err != nil {
 			return true
 		}
 	}
+	s.setHandingOver(false)
 	return false
 }
 
+func (s *session) setHandingOver(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handingOver = on
+}
+
 func (s *Service) electionDelay() time.Duration {
 	if s.ElectionDelay == nil {
 		return 0
--- a/internal/serve/leader/handover_test.go
+++ b/internal/serve/leader/handover_test.go
@@ -101,6 +101,36 @@
 	})
 }
 
+// Guards against two leaders that act on machines at the same time: a peer accepts leadership, its reply is lost, and the
+// former leader goes on as if the peer had declined.
+func TestLostReplyToOffer(t *testing.T) {
+	offered := make(chan struct{}, 1)
+	lose := func(o *leader.Options) {
+		offer := o.OfferLeadership
+		o.OfferLeadership = func(ctx context.Context, address string, delay time.Duration) (bool, error) {
+			if accepted, err := offer(ctx, address, delay); !accepted || err != nil {
+				return accepted, err
+			}
+			offered <- struct{}{}
+			return false, context.DeadlineExceeded
+		}
+	}
+	testClusterWith(t, lose, func(c *cluster) {
+		former := c.leader()
+		former.slow.Store(true)
+		for len(offered) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Millisecond)
+		reply := former.service.Load().Submit(context.Background(), peer.SubmitRequest{Version: 1,
+			Job: work.Job{ID: "0123456789abcdef", Queue: "q", Customer: "c", Accepted: time.Now().UnixMilli(),
+				Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 10}}}}})
+		if reply.Result != peer.NotLeader {
+			t.Errorf("the former leader answered %q", reply.Result)
+		}
+	})
+}
+
 // Guards against changes of the leader that bring nothing, because all instances run slowly, and against leadership
 // that goes to and fro while the instances become slow in turn.
 func TestLeaderStaysWithoutBetterPeer(t *testing.T) {
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -137,7 +137,7 @@
 		return
 	}
 	s.mu.Lock()
-	if s.steppingDown || len(m.machines) == 0 {
+	if s.steppingDown || s.handingOver || len(m.machines) == 0 {
 		s.mu.Unlock()
 		return
 	}
@@ -240,7 +240,10 @@
 func (m *mover) call(ctx context.Context, op *operation) {
 	s := m.session
 	var result Result
-	if s.leadership.Lost() || s.leadership.SinceConfirmed() > moveMaxAge {
+	s.mu.Lock()
+	leaving := s.steppingDown || s.handingOver
+	s.mu.Unlock()
+	if leaving || s.leadership.Lost() || s.leadership.SinceConfirmed() > moveMaxAge {
 		// The process may have been paused since the decision, and another may lead by now.
 		result = Unavailable
 	} else if op.wave != 0 {
