sched/engine: Lift the throttle of a best-effort run that is alone

Cause: workers with a single run were skipped, so that the throttle was never lifted. testdata/unthrottle failed before: no command where the last pass expects the throttle to be lifted. testdata/tail is as before.

--- a/internal/sched/engine/latency.go
+++ b/internal/sched/engine/latency.go
@@ -39,11 +39,11 @@
 
 // throttleCommands suspends best-effort tasks beside a serving task that has been above its latency objective for
 // throttleDelay, and lets them run at full speed again when all serving tasks of the worker, if any, have been well
-// below theirs for unthrottleDelay. It skips unresponsive workers and those with a single run.
+// below theirs for unthrottleDelay. It skips unresponsive workers.
 func (sc *Scheduler) throttleCommands(now time.Time) []Command {
 	var commands []Command
 	for _, w := range sc.workers {
-		if !w.unresponsiveSince.IsZero() || len(w.runs) < 2 {
+		if !w.unresponsiveSince.IsZero() {
 			continue
 		}
 		harmed, recovered := false, true
