sched/engine: Forget workers whose inherited leases have expired

What callers saw: after a takeover, tasks of stored jobs waited 8.9 s for the leases of workers that had ended long ago, at each further takeover again.

Cause: a worker that ended before it reported its run lists to a new leader, and that the platform no longer listed, never had a lease of this leader, so that none expired, and it stayed in use, in memory and in the store. When the leases of former leaders have expired, nothing runs there any more: such workers are now forgotten, and their rows deleted.

testdata/inherited failed before: the row of the worker stayed, and the next leader started nothing.

--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -358,6 +358,9 @@
 	}
 	if len(sc.inherited) > 0 && now.After(sc.inheritedUntil) {
 		sc.log.Info("engine: leases of former leaders have expired", zap.Int("workers", len(sc.inherited)))
+		for _, w := range sc.inherited {
+			sc.clearInUse(w)
+		}
 		sc.inherited = map[work.WorkerID]*worker{}
 	}
 	for id, j := range sc.jobs {
