plan/shift: Move machines between pools that all lack CPU

From 7 s to 14 s its pool had 3 machines and needed 44, while another that had a backlog of 1.6 to 2.5 million thousandths of a core kept 29 to 33.

Cause: only empty machines moved, and a pool gave away only what it did not need. A pool with a backlog is never empty and needs all that it has, so the pool whose demand rose first kept the machines for as long as its backlog lasted. Starvation by incumbency.

When pools lack CPU, machines now move from the best to the worst supplied one if the former stays three times better supplied, those first whose tasks end soonest, once they are empty. A machine that is not empty after 4 s stays where it is.

--- /dev/null
+++ b/internal/plan/shift/balance.go
@@ -0,0 +1,72 @@
+package shift
+
+import (
+	"cmp"
+	"slices"
+)
+
+// minBalanceRatio is how many times better supplied than the recipient a pool must be, after a move between two pools
+// that both lack CPU. A move costs the time that the machine takes to drain and to move.
+const minBalanceRatio = 3
+
+// supply returns the share of the CPU that a pool requires which it has, with a change of that CPU.
+func (p *pool) supply(change int64) float64 { return float64(p.cpu+change) / max(p.requiredCPU, 1) }
+
+// balance moves machines between pools that all lack CPU, from the best supplied to the worst supplied one. A pool with
+// a backlog has no empty machines, and needs all that it has: without this it would keep them while another pool with
+// the same demand has hardly any. The machines that drain first move, once they are empty.
+func (p *Planner) balance(pools map[string]*pool, machines []Machine) []Move {
+	drainable := slices.DeleteFunc(slices.Clone(machines), func(m Machine) bool { return !m.Drainable || pools[m.Pool] == nil })
+	slices.SortFunc(drainable, func(a, b Machine) int {
+		return cmp.Or(cmp.Compare(a.DrainTime, b.DrainTime), cmp.Compare(a.Name, b.Name))
+	})
+	var moves []Move
+	for len(drainable) > 0 {
+		i := p.bestDonation(pools, drainable)
+		if i < 0 {
+			break
+		}
+		m := drainable[i]
+		from, to := pools[m.Pool], p.worstSupplied(pools, m)
+		from.machines--
+		from.cpu -= m.CPU
+		to.machines++
+		to.cpu += m.CPU
+		moves = append(moves, Move{m.Name, m.Pool, to.demand.Pool})
+		drainable = slices.Delete(drainable, i, i+1)
+	}
+	return moves
+}
+
+// bestDonation returns the index of the machine of the best supplied pool that should move to the worst supplied pool,
+// or -1 if there is none.
+func (p *Planner) bestDonation(pools map[string]*pool, drainable []Machine) int {
+	best, bestSupply := -1, 0.0
+	for i, m := range drainable {
+		from, to := pools[m.Pool], p.worstSupplied(pools, m)
+		if to == nil || from.machines <= from.minMachines {
+			continue
+		}
+		if s := from.supply(-m.CPU); s >= minBalanceRatio*to.supply(m.CPU) && s > bestSupply {
+			best, bestSupply = i, s
+		}
+	}
+	return best
+}
+
+// worstSupplied returns the pool with the least supply among the others that lack CPU for a machine and did not refuse
+// it, or nil.
+func (p *Planner) worstSupplied(pools map[string]*pool, m Machine) *pool {
+	var worst *pool
+	for _, o := range pools {
+		if o.demand.Pool == m.Pool || slices.Contains(m.RefusedBy, o.demand.Pool) ||
+			o.shortfall(m.CPU) <= float64(m.CPU)*minShortfall {
+			continue
+		}
+		if worst == nil || cmp.Or(cmp.Compare(o.supply(0), worst.supply(0)),
+			cmp.Compare(o.demand.Pool, worst.demand.Pool)) < 0 {
+			worst = o
+		}
+	}
+	return worst
+}
--- a/internal/plan/shift/shift.go
+++ b/internal/plan/shift/shift.go
@@ -57,8 +57,10 @@
 	CPU int64
 	// Off machines are in a spare pool, where they run nothing and cost nothing.
 	Off bool
-	// Empty machines run no task and can move at once.
-	Empty bool
+	// Empty machines run no task and can move at once. Drainable ones run only tasks that end by themselves, all within
+	// DrainTime as far as is known.
+	Empty, Drainable bool
+	DrainTime        time.Duration
 	// RefusedBy lists the pools that refused the machine.
 	RefusedBy []string
 }
@@ -133,6 +135,7 @@
 			Bursting: o.trend.bursting})
 	}
 	moves := p.assignEmpty(pools, machines)
+	moves = append(moves, p.balance(pools, machines)...)
 	if spare != "" {
 		moves = append(moves, p.release(now, pools, machines, moves, spare)...)
 	}
--- a/internal/plan/shift/shift_test.go
+++ b/internal/plan/shift/shift_test.go
@@ -22,7 +22,8 @@
 }
 
 // TestScripts guards against machines that stay in pools that don't need them while another pool's demand is high,
-// against pools that lose machines that their long-running tasks need, against repeated moves of refused machines, and
+// against pools that lose machines that their long-running tasks need, against repeated moves of refused machines, against
+// pools that get no machines because others with a backlog never have an empty one, and
 // against machines that come a move's time after the demand that they are for.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -74,13 +75,15 @@
 	return n
 }
 
-// addMachines takes "pool count=N cpu=N [off] [busy] [barred=pool]".
+// addMachines takes "pool count=N cpu=N [off] [busy] [drain=milliseconds] [barred=pool]".
 func (s *simulation) addMachines(line string) {
 	pool, m := fields(line)
 	_, off := m["off"]
 	_, busy := m["busy"]
 	for i := range s.number(m["count"]) {
-		x := Machine{Name: fmt.Sprintf("%s-%02d", pool, i), Pool: pool, CPU: s.number(m["cpu"]), Off: off, Empty: !busy}
+		x := Machine{Name: fmt.Sprintf("%s-%02d", pool, i), Pool: pool, CPU: s.number(m["cpu"]), Off: off,
+			Empty: !busy && m["drain"] == "", Drainable: m["drain"] != "",
+			DrainTime: time.Duration(s.number(m["drain"])) * time.Millisecond}
 		if m["barred"] != "" {
 			x.RefusedBy = []string{m["barred"]}
 		}
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -76,6 +76,8 @@
 	listIntervalLeases = 300 * time.Millisecond
 	listIntervalBusy   = 600 * time.Millisecond
 	listIntervalIdle   = 2 * time.Second
+	// maxDrainTime is how long a move waits until its machine is empty.
+	maxDrainTime = 4 * time.Second
 	// busyBackoff is the pause after a Busy, Unavailable or Unknown result before the machine is tried again.
 	busyBackoff = time.Second
 )
@@ -87,6 +89,8 @@
 	// pool is the target pool of a move, wave the number of a maintenance wave; one of them is set.
 	pool string
 	wave int64
+	// plannedAt is when a move was decided.
+	plannedAt time.Time
 	// sentAt is the time of the last call, calling is set until it returns; startedAt is when a call succeeded, zero
 	// before that.
 	sentAt, startedAt time.Time
@@ -227,6 +231,12 @@
 			id := work.WorkerID(op.worker)
 			m.session.scheduler.Cordon(id, true)
 			if r := m.session.scheduler.Usage(id); r.Runs > 0 || !r.Known && !r.Ended {
+				if op.pool != "" && now.Sub(op.plannedAt) > maxDrainTime {
+					m.session.log.Info("leader: machine did not become empty, not moving it", zap.String("machine", op.machine),
+						zap.String("to", op.pool), zap.Int("runs", r.Runs))
+					m.busyUntil[op.machine] = now.Add(maxDrainTime)
+					m.releaseOperation(op)
+				}
 				continue
 			}
 		}
@@ -324,8 +334,11 @@
 			}
 		} else {
 			r := s.scheduler.Usage(work.WorkerID(x.Worker))
-			o.Empty = x.Up && m.mayOperate(x) && time.Now().After(m.busyUntil[x.Name]) && r.Runs == 0 && !r.Leaving &&
-				(o.Off || r.Known)
+			free := x.Up && m.mayOperate(x) && time.Now().After(m.busyUntil[x.Name]) && !r.Leaving
+			o.Empty = free && r.Runs == 0 && (o.Off || r.Known)
+			// Tasks that run for longer than expected may never end, so their machines don't count as drainable.
+			o.Drainable = free && r.Known && r.LongRunning == 0 && r.RemainingTime > 0
+			o.DrainTime = r.RemainingTime
 		}
 		machines = append(machines, o)
 	}
@@ -337,7 +350,7 @@
 		worker := m.machines[x.Machine].Worker
 		s.log.Info("leader: moving a machine once it is empty", zap.String("machine", x.Machine), zap.String("from", x.From),
 			zap.String("to", x.To))
-		m.operations[x.Machine] = &operation{machine: x.Machine, worker: worker, pool: x.To}
+		m.operations[x.Machine] = &operation{machine: x.Machine, worker: worker, pool: x.To, plannedAt: time.Now()}
 		s.scheduler.Cordon(work.WorkerID(worker), true)
 	}
 }
