serve/runner: Release the attempt of an asynchronous job that is not accepted

What callers saw: after an outage of the store a team could run fewer tasks than its ceiling, for as long as the instance lived.

Cause: a job waits in the queue while its record is stored. If that fails and an attempt was granted meanwhile, the wait for a permit returned it by chance in half of the cases, and nobody ended it: it stayed registered with its ceiling units.

--- a/internal/serve/runner/async.go
+++ b/internal/serve/runner/async.go
@@ -31,7 +31,9 @@
 	if err := r.storeJob(ctx, t); err != nil {
 		t.stop()
 		// After stop, awaitPermit removes the task from the queue unless an attempt was granted to it.
-		r.awaitPermit(t)
+		if s, ok := r.awaitPermit(t).(permitted); ok {
+			r.finish(s.attempt, "", 0)
+		}
 		r.remove(t)
 		return r.handleNotAccepted(ctx, t, err)
 	}
