serve/runner: Let concurrent asynchronous requests with one key share a task

What callers saw: of two requests with one key at the same moment both got the id of the task, but its entry instance answered queries as if it did not run it, until another instance took it over as an orphan.

Cause: the second request replaced the first one's task in the instance's table; when its record was refused it removed the entry. Such a request now waits until the first one is accepted or not, and answers by that, or by the record if the task has ended. A request that finds the first one not accepted is answered as unknown, since the first one's write may still take effect.

TestConcurrentAsyncRequestsShareTask failed before ("the entry instance does not find the running task").

--- a/internal/serve/runner/async.go
+++ b/internal/serve/runner/async.go
@@ -15,15 +15,21 @@
 	if err != nil {
 		return "", err
 	}
+	t.accepted = make(chan struct{})
 	if j.Key != "" {
 		c, err := r.findEarlier(ctx, t)
 		if err != nil || c.ID != "" {
 			return c.ID, err
 		}
 	}
-	if err := r.register(t); err != nil {
+	shared, err := r.join(t)
+	if err != nil {
 		return "", err
 	}
+	if shared != t {
+		return r.awaitAccepted(ctx, t, shared)
+	}
+	defer close(t.accepted)
 	if err := r.enqueue(t); err != nil {
 		r.remove(t)
 		return "", err
@@ -42,6 +48,27 @@
 	return t.id, nil
 }
 
+// awaitAccepted answers a request whose key belongs to another task of this instance: with the id of that task once it
+// is accepted, or by the record if it has ended or was not accepted.
+func (r *Runner) awaitAccepted(ctx context.Context, t, shared *task) (string, error) {
+	if shared.accepted != nil {
+		select {
+		case <-shared.accepted:
+		case <-ctx.Done():
+			return "", reject.New(reject.KindCancelled, reject.WorkUnknown, "the caller has gone")
+		}
+	}
+	if current, ok := r.find(t.team, t.id); ok && current == shared {
+		return shared.id, nil
+	}
+	c, err := r.findEarlier(ctx, t)
+	if err == nil && c.ID == "" {
+		return "", reject.New(reject.KindStore, reject.WorkUnknown, "an earlier request with the key was not accepted").
+			WithRetryAfter(time.Second)
+	}
+	return c.ID, err
+}
+
 // findEarlier returns the record of an earlier request with the same key, or an empty one if there is none. A record
 // with another input rejects the request.
 func (r *Runner) findEarlier(ctx context.Context, t *task) (claim.Record, error) {
--- a/internal/serve/runner/async_test.go
+++ b/internal/serve/runner/async_test.go
@@ -38,3 +38,35 @@
 		}
 	})
 }
+
+// Guards against an accepted asynchronous job that its entry instance no longer finds: of two concurrent requests with
+// one key, the one whose record was refused removed the task of the other.
+func TestConcurrentAsyncRequestsShareTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		defer c.close()
+		c.mu.Lock()
+		c.storeDelay = 10 * time.Millisecond
+		c.mu.Unlock()
+		e := c.runners["a.1"]
+		type result struct {
+			id  string
+			err error
+		}
+		results := make(chan result, 2)
+		for range 2 {
+			go func() {
+				id, err := e.SubmitAsync(context.Background(), asyncJob("k"))
+				results <- result{id, err}
+			}()
+		}
+		first, second := <-results, <-results
+		if first.err != nil || second.err != nil || first.id != second.id {
+			t.Fatalf("results %+v and %+v", first, second)
+		}
+		time.Sleep(time.Second)
+		if _, ok := e.find("blue", first.id); !ok {
+			t.Error("the entry instance does not find the running task")
+		}
+	})
+}
--- a/internal/serve/runner/submit.go
+++ b/internal/serve/runner/submit.go
@@ -43,7 +43,8 @@
 	return r.waitFor(ctx, shared)
 }
 
-// join registers a keyed task, or returns the existing task of the same key.
+// join registers a recorded task, or returns the existing task of the same key. The record of an asynchronous one has
+// been looked up before.
 func (r *Runner) join(t *task) (*task, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -54,7 +55,7 @@
 	case ok:
 		return existing, nil
 	case r.stopping:
-		return nil, rejectBeforeLookup(true, errStopping())
+		return nil, rejectBeforeLookup(!t.async, errStopping())
 	}
 	if err := r.countInput(t); err != nil {
 		return nil, err
--- a/internal/serve/runner/task.go
+++ b/internal/serve/runner/task.go
@@ -32,6 +32,9 @@
 	queueLimit int           // of the waiting tasks of the queue
 	granted    chan *attempt // receives an attempt that holds a permit and ceiling units
 	done       chan struct{} // closed when the final answer is known
+	// accepted is closed when the record of an asynchronous task is stored or could not be stored; nil for other tasks,
+	// and for those taken over, whose record was stored before.
+	accepted chan struct{}
 	// ctx ends when the caller is answered before the task has ended, so that calls on behalf of the caller end too.
 	ctx  context.Context
 	stop context.CancelFunc
