--- a/internal/plan/shift/balance.go
+++ b/internal/plan/shift/balance.go
@@ -15,19 +15,19 @@
 // balance moves machines between pools that all lack CPU, from the best supplied to the worst supplied one. A pool with
 // a backlog has no empty machines, and needs all that it has: without this it would keep them while another pool with
 // the same demand has hardly any. The machines that drain first move, once they are empty.
-func (p *Planner) balance(pools map[string]*pool, machines []Machine) []Move {
+func balance(pools map[string]*pool, machines []Machine) []Move {
 	drainable := slices.DeleteFunc(slices.Clone(machines), func(m Machine) bool { return !m.Drainable || pools[m.Pool] == nil })
 	slices.SortFunc(drainable, func(a, b Machine) int {
 		return cmp.Or(cmp.Compare(a.DrainTime, b.DrainTime), cmp.Compare(a.Name, b.Name))
 	})
 	var moves []Move
 	for len(drainable) > 0 {
-		i := p.bestDonation(pools, drainable)
+		i := bestDonation(pools, drainable)
 		if i < 0 {
 			break
 		}
 		m := drainable[i]
-		from, to := pools[m.Pool], p.worstSupplied(pools, m)
+		from, to := pools[m.Pool], worstSupplied(pools, m)
 		from.machines--
 		from.cpu -= m.CPU
 		to.machines++
@@ -40,13 +40,20 @@
 
 // bestDonation returns the index of the machine of the best supplied pool that should move to the worst supplied pool,
 // or -1 if there is none.
-func (p *Planner) bestDonation(pools map[string]*pool, drainable []Machine) int {
+func bestDonation(pools map[string]*pool, drainable []Machine) int {
 	best, bestSupply := -1, 0.0
+	considered := map[string]bool{}
 	for i, m := range drainable {
-		from, to := pools[m.Pool], p.worstSupplied(pools, m)
-		if to == nil || from.machines <= from.minMachines {
+		from := pools[m.Pool]
+		if considered[m.Pool] || from.machines <= from.minMachines {
 			continue
 		}
+		to := worstSupplied(pools, m)
+		if to == nil {
+			continue
+		}
+		// The other machines of the pool drain later.
+		considered[m.Pool] = true
 		if s := from.supply(-m.CPU); s >= minBalanceRatio*to.supply(m.CPU) && s > bestSupply {
 			best, bestSupply = i, s
 		}
@@ -54,13 +61,11 @@
 	return best
 }
 
-// worstSupplied returns the pool with the least supply among the others that lack CPU for a machine and did not refuse
-// it, or nil.
-func (p *Planner) worstSupplied(pools map[string]*pool, m Machine) *pool {
+// worstSupplied returns the pool with the least supply among those that lack a machine, or nil.
+func worstSupplied(pools map[string]*pool, m Machine) *pool {
 	var worst *pool
 	for _, o := range pools {
-		if o.demand.Pool == m.Pool || slices.Contains(m.RefusedBy, o.demand.Pool) ||
-			o.shortfall(m.CPU) <= float64(m.CPU)*minShortfall {
+		if !o.lacks(m) {
 			continue
 		}
 		if worst == nil || cmp.Or(cmp.Compare(o.supply(0), worst.supply(0)),
--- a/internal/plan/shift/shift.go
+++ b/internal/plan/shift/shift.go
@@ -135,7 +135,7 @@
 			Bursting: o.trend.bursting})
 	}
 	moves := p.assignEmpty(pools, machines)
-	moves = append(moves, p.balance(pools, machines)...)
+	moves = append(moves, balance(pools, machines)...)
 	if spare != "" {
 		moves = append(moves, p.release(now, pools, machines, moves, spare)...)
 	}
@@ -200,12 +200,18 @@
 	return o.machines > o.minMachines && float64(o.cpu-m.CPU) >= o.requiredCPU
 }
 
-// mostShort returns the pool with the largest shortfall above minShortfall that did not refuse the machine, or nil.
+// lacks reports whether the pool should get a machine of another pool: its shortfall is above minShortfall and it did
+// not refuse the machine.
+func (p *pool) lacks(m Machine) bool {
+	return p.demand.Pool != m.Pool && !slices.Contains(m.RefusedBy, p.demand.Pool) &&
+		p.shortfall(m.CPU) > float64(m.CPU)*minShortfall
+}
+
+// mostShort returns the pool with the largest shortfall among those that lack the machine, or nil.
 func (p *Planner) mostShort(pools map[string]*pool, m Machine) *pool {
 	var best *pool
 	for _, o := range pools {
-		if o.demand.Pool == m.Pool || slices.Contains(m.RefusedBy, o.demand.Pool) ||
-			o.shortfall(m.CPU) <= float64(m.CPU)*minShortfall {
+		if !o.lacks(m) {
 			continue
 		}
 		shortfall := o.shortfall(m.CPU)
