--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -13,6 +13,9 @@
 	// renewalWait is how long a worker may delay its reply until a run ends. It bounds the age of the load signals that
 	// show interference between tasks.
 	renewalWait = time.Second
+	// FiniteRenewalWait is the same for a worker with tasks that end by themselves: if the reply is lost, the jobs of all
+	// tasks that end meanwhile wait until the renewal has timed out.
+	FiniteRenewalWait = 150 * time.Millisecond
 	// renewInterval is the time from a reply to the next renewal. It lets ended runs accumulate, so that one renewal and
 	// one commit serve several of them.
 	renewInterval = 30 * time.Millisecond
@@ -69,9 +72,21 @@
 		}
 	}
 	o.Wait = renewalWait
+	if w.hasFiniteRuns() {
+		o.Wait = FiniteRenewalWait
+	}
 	return o, renewInterval, true
 }
 
+func (w *worker) hasFiniteRuns() bool {
+	for _, r := range w.runs {
+		if r.stepState != nil && !r.stepState.spec.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // PrepareRenewal sets the lease expiry of a renewal that is about to be sent, if it extends the lease.
 func (sc *Scheduler) PrepareRenewal(o Renewal) Renewal {
 	if w, ok := sc.workers[o.Worker]; ok && o.ExtendLease {
