leader: End the wait of a move for a busy machine

Moves of machines that are not empty came with the moves between pools that lack CPU: a machine that does not become empty stayed without new tasks for as long as its tasks stood still. Such a move ends after 4 s, unless the platform has been called and may be carrying it out. Comments of plan/shift say what donors are.

--- a/internal/plan/shift/balance.go
+++ b/internal/plan/shift/balance.go
@@ -5,16 +5,16 @@
 	"slices"
 )
 
-// minBalanceRatio is how many times better supplied than the recipient a pool must be, after a move between two pools
-// that both lack CPU. A move costs the time that the machine takes to drain and to move.
+// minBalanceRatio is how many times better supplied than the recipient a pool must be after it has given away a machine
+// that is not empty. Such a move costs the time that the machine takes to drain and to move.
 const minBalanceRatio = 3
 
 // supply returns the share of the CPU that a pool requires which it has, with a change of that CPU.
 func (p *pool) supply(change int64) float64 { return float64(p.cpu+change) / max(p.requiredCPU, 1) }
 
-// balance moves machines between pools that all lack CPU, from the best supplied to the worst supplied one. A pool with
-// a backlog has no empty machines, and needs all that it has: without this it would keep them while another pool with
-// the same demand has hardly any. The machines that drain first move, once they are empty.
+// balance moves machines that are not empty from the best supplied pool to the worst supplied one, once they are empty,
+// those that drain first. A pool with a backlog has no empty machines and needs all that it has: without this it would
+// keep them while another pool with the same demand has hardly any.
 func balance(pools map[string]*pool, machines []Machine) []Move {
 	drainable := slices.DeleteFunc(slices.Clone(machines), func(m Machine) bool { return !m.Drainable || pools[m.Pool] == nil })
 	slices.SortFunc(drainable, func(a, b Machine) int {
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -76,7 +76,7 @@
 	listIntervalLeases = 300 * time.Millisecond
 	listIntervalBusy   = 600 * time.Millisecond
 	listIntervalIdle   = 2 * time.Second
-	// maxDrainTime is how long a move waits until its machine is empty.
+	// maxDrainTime is how long a move waits until its machine is empty, unless the platform may be carrying it out.
 	maxDrainTime = 4 * time.Second
 	// busyBackoff is the pause after a Busy, Unavailable or Unknown result before the machine is tried again.
 	busyBackoff = time.Second
@@ -231,7 +231,7 @@
 			id := work.WorkerID(op.worker)
 			m.session.scheduler.Cordon(id, true)
 			if r := m.session.scheduler.Usage(id); r.Runs > 0 || !r.Known && !r.Ended {
-				if op.pool != "" && now.Sub(op.plannedAt) > maxDrainTime {
+				if op.pool != "" && op.sentAt.IsZero() && now.Sub(op.plannedAt) > maxDrainTime {
 					m.session.log.Info("leader: machine did not become empty, not moving it", zap.String("machine", op.machine),
 						zap.String("to", op.pool), zap.Int("runs", r.Runs))
 					m.busyUntil[op.machine] = now.Add(maxDrainTime)
--- a/internal/serve/leader/moves_test.go
+++ b/internal/serve/leader/moves_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 )
 
@@ -57,3 +58,28 @@
 		}
 	})
 }
+
+// Guards against a machine that is kept from tasks for good because it does not become empty, and against one that gets
+// tasks again while the platform may be moving it.
+func TestMoveOfBusyMachineEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &session{log: zap.NewNop(), scheduler: engine.New(engine.DefaultOptions(), 1, nil)}
+		w := work.Worker{ID: "w", Pool: "p", Capacity: work.Need{CPU: 1000}}
+		s.scheduler.SetWorkers([]work.Worker{w})
+		run := work.RunKey{Task: work.TaskID{Job: "0123456789abcdef"}, Number: 1}
+		s.scheduler.HandleRenewal(engine.Renewal{Worker: "w"}, work.RenewalReply{Active: []work.Active{{Run: run}}},
+			time.Now())
+		waiting := &operation{machine: "m", worker: "w", pool: "q", plannedAt: time.Now()}
+		sent := &operation{machine: "n", worker: "w", pool: "q", plannedAt: time.Now(), sentAt: time.Now()}
+		m := &mover{session: s, busyUntil: map[string]time.Time{}, operations: map[string]*operation{"m": waiting, "n": sent}}
+		m.dueOperations()
+		if len(m.operations) != 2 {
+			t.Error("a move ended at once")
+		}
+		time.Sleep(maxDrainTime + time.Second)
+		m.dueOperations()
+		if m.operations["m"] != nil || m.operations["n"] == nil {
+			t.Errorf("after %v the operations are %v", maxDrainTime+time.Second, m.operations)
+		}
+	})
+}
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -32,8 +32,7 @@
 	leadership *elect.Leadership
 	log        *zap.Logger
 
-	// mu guards scheduler, renewals, committed, steppingDown, handingOver, waves and
-	// changedWaves.
+	// mu guards scheduler, renewals, committed, steppingDown, handingOver, waves and changedWaves.
 	mu        sync.Mutex
 	scheduler *engine.Scheduler
 	// renewals are the wake channels of the renewal loops, one for each tracked worker.
@@ -60,7 +59,8 @@
 	return &session{
 		service: s, leadership: l, log: s.Log, scheduler: engine.New(s.Options.Scheduler, l.Term(), s.Log),
 		renewals: map[work.WorkerID]chan struct{}{}, committed: make(chan struct{}),
-		waves: map[int64]*waveState{}, changedWaves: map[int64]bool{}, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
+		waves: map[int64]*waveState{}, changedWaves: map[int64]bool{},
+		planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 		done: make(chan struct{}), transactions: txLog{log: s.Log},
 	}
 }
