leader: Hold the cap of a wave across a handover of leadership

Cause: a machine call that the former leader had just made took effect after the new one had listed the machines, so that the list had one place under the cap that was taken. A leader that fails is replaced 1.5 s after its last transaction, and makes no such calls for the last 0.5 s of these; a handover takes 0.1 s.

A new leader begins no maintenance until it has a list that was requested 2 s after the takeover, the time-out of such calls and 0.5 s, and lists more often until then. A leader also waits, at most 0.5 s, for its calls in progress before it offers leadership, since a move that takes effect later ends the tasks that the next leader has started on the machine.

TestWaveCapHoldsAcrossHandover failed before: 40 machines in maintenance with a cap of 20.

--- a/internal/serve/leader/handover.go
+++ b/internal/serve/leader/handover.go
@@ -24,6 +24,10 @@
 	// offerTimeout bounds one offer, maxOffers the offers in a check.
 	offerTimeout = 200 * time.Millisecond
 	maxOffers    = 3
+	// maxMachineCallWait bounds the wait for machine calls in progress before an offer, machineCallCheckInterval is the
+	// time between two checks of it.
+	maxMachineCallWait       = 500 * time.Millisecond
+	machineCallCheckInterval = 10 * time.Millisecond
 	// leavingElectionDelay is the election delay in the offers of an instance that shuts down, longer than any other.
 	leavingElectionDelay = time.Hour
 )
@@ -56,6 +60,7 @@
 		return false
 	}
 	s.setHandingOver(true)
+	s.awaitMachineCalls(ctx)
 	for _, p := range peers {
 		callCtx, cancel := context.WithTimeout(ctx, offerTimeout)
 		accepted, err := s.service.OfferLeadership(callCtx, p.address, own)
@@ -70,6 +75,25 @@
 	return false
 }
 
+// awaitMachineCalls waits until no call for a machine operation is in progress, at most maxMachineCallWait: one that
+// takes effect later ends the tasks that the next leader has started on the machine meanwhile.
+func (s *session) awaitMachineCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxMachineCallWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		calls := s.machineCalls
+		s.mu.Unlock()
+		if calls == 0 {
+			return
+		}
+		select {
+		case <-time.After(machineCallCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (s *session) setHandingOver(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -71,8 +71,8 @@
 	// later leader must find the records of the workers of such machines deleted, or it waits for their leases to expire.
 	moveMaxAge = time.Second
 	// listIntervalLeases, listIntervalBusy and listIntervalIdle are the times between two lists of machines: while tasks
-	// wait for the leases of workers that may have ended, while operations are in progress or no machine is known, and
-	// otherwise.
+	// wait for the leases of workers that may have ended, while operations are in progress, also those of a former leader,
+	// or no machine is known, and otherwise.
 	listIntervalLeases = 300 * time.Millisecond
 	listIntervalBusy   = 600 * time.Millisecond
 	listIntervalIdle   = 2 * time.Second
@@ -159,7 +159,7 @@
 func (m *mover) refreshMachines(ctx context.Context) {
 	interval := listIntervalIdle
 	m.session.mu.Lock()
-	if len(m.operations) > 0 || len(m.machines) == 0 {
+	if len(m.operations) > 0 || len(m.machines) == 0 || m.awaitsFormerCalls() {
 		interval = listIntervalBusy
 	}
 	if m.session.scheduler.AwaitsLeaseExpiry() {
@@ -252,6 +252,9 @@
 	var result Result
 	s.mu.Lock()
 	leaving := s.steppingDown || s.handingOver
+	if !leaving {
+		s.machineCalls++
+	}
 	s.mu.Unlock()
 	if leaving || s.leadership.Lost() || s.leadership.SinceConfirmed() > moveMaxAge {
 		// The process may have been paused since the decision, and another may lead by now.
@@ -264,6 +267,9 @@
 	s.log.Info("leader: machine operation attempted", zap.String("machine", op.machine), zap.String("pool", op.pool),
 		zap.Int64("wave", op.wave), zap.Int("result", int(result)), zap.Duration("took", time.Since(op.sentAt)))
 	s.mu.Lock()
+	if !leaving {
+		s.machineCalls--
+	}
 	op.calling = false
 	switch result {
 	case Started:
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -32,7 +32,8 @@
 	leadership *elect.Leadership
 	log        *zap.Logger
 
-	// mu guards scheduler, renewals, committed, steppingDown, handingOver, waves and changedWaves.
+	// mu guards scheduler, renewals, committed, steppingDown, handingOver, machineCalls, waves
+	// and changedWaves.
 	mu        sync.Mutex
 	scheduler *engine.Scheduler
 	// renewals are the wake channels of the renewal loops, one for each tracked worker.
@@ -44,7 +45,9 @@
 	steppingDown bool
 	// handingOver means that a peer may acquire leadership at any moment, because it is being offered to it.
 	handingOver bool
-	waves       map[int64]*waveState
+	// machineCalls counts the calls for machine operations in progress.
+	machineCalls int
+	waves        map[int64]*waveState
 	// changedWaves are the numbers of the waves whose progress is to be stored.
 	changedWaves map[int64]bool
 	// transactions is used by the commit loop only.
--- a/internal/serve/leader/wave_test.go
+++ b/internal/serve/leader/wave_test.go
@@ -19,9 +19,13 @@
 // each worker of the cluster.
 type idleMachines struct {
 	count int
+	// delay is the time from a call until the maintenance begins and the call returns.
+	delay time.Duration
 
 	mu         sync.Mutex
 	maintained map[string]int
+	// calling are the machines with a call in progress, for which others are declined.
+	calling map[string]bool
 }
 
 func (m *idleMachines) name(i int) string { return fmt.Sprintf("m%02d", i) }
@@ -51,6 +55,14 @@
 func (m *idleMachines) Maintain(_ context.Context, machine string, _, _ int64) leader.Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.calling[machine] {
+		return leader.Busy
+	}
+	m.calling[machine] = true
+	m.mu.Unlock()
+	time.Sleep(m.delay)
+	m.mu.Lock()
+	m.calling[machine] = false
 	m.maintained[machine]++
 	return leader.Started
 }
@@ -66,7 +78,7 @@
 // Guards against jobs that are accepted late while a maintenance wave begins: the progress of the wave was stored by a
 // transaction of its own for each machine, and new jobs waited behind all of these.
 func TestWaveDoesNotDelayJobs(t *testing.T) {
-	machines := &idleMachines{count: 60, maintained: map[string]int{}}
+	machines := &idleMachines{count: 60, maintained: map[string]int{}, calling: map[string]bool{}}
 	testClusterWith(t, func(o *leader.Options) {
 		o.Machines = machines
 		o.Moves = leader.MoveOptions{Maintenance: 2 * time.Second, Shift: shift.Default()}
@@ -99,3 +111,28 @@
 		}
 	})
 }
+
+// Guards against more machines down for their maintenance than the cap of a wave (a LIMIT violation) after a handover
+// of leadership: the new leader counted the machines before the calls of the former one had taken effect.
+func TestWaveCapHoldsAcrossHandover(t *testing.T) {
+	machines := &idleMachines{count: 60, maintained: map[string]int{}, calling: map[string]bool{}, delay: 700 * time.Millisecond}
+	testClusterWith(t, func(o *leader.Options) {
+		o.Machines = machines
+		o.Moves = leader.MoveOptions{Maintenance: 2 * time.Second, Shift: shift.Default()}
+	}, func(c *cluster) {
+		wave := rules.Wave{Number: 1, Cap: 20, Within: 20 * time.Second}
+		for i := range machines.count {
+			wave.Machines = append(wave.Machines, machines.name(i))
+		}
+		former := c.leader()
+		former.slow.Store(true)
+		c.rules.AddWave(wave)
+		time.Sleep(10 * time.Second)
+		if l := c.leader(); l == nil || l == former {
+			t.Error("leadership was not handed over")
+		}
+		if n := len(machines.maintained); n == 0 || n > wave.Cap {
+			t.Errorf("%d machines are in maintenance, the cap is %d", n, wave.Cap)
+		}
+	})
+}
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -81,9 +81,22 @@
 	}
 }
 
+// maxCallDelay is how long after a takeover a machine call of the former leader may still take effect: its time-out, and
+// what passes between the former leader's last check of its leadership and the call.
+const maxCallDelay = 2 * time.Second
+
+// awaitsFormerCalls reports whether calls of the former leader may take effect after the last list of machines.
+func (m *mover) awaitsFormerCalls() bool {
+	return m.session.leadership.Term() > 1 && m.listedAt.Before(m.startedAt.Add(maxCallDelay))
+}
+
 // planWaves selects machines for maintenance within the cap of each wave, cordons their workers and reports the state
-// of the waves.
+// of the waves. A new leader does nothing until it has a list of machines in which the calls of the former one have
+// taken effect, since it would not count those machines towards the cap.
 func (m *mover) planWaves(ctx context.Context, current rules.Rules) {
+	if m.awaitsFormerCalls() {
+		return
+	}
 	for number, w := range current.Waves {
 		state, ok := m.waves[number]
 		if !ok {
