sched/engine: Log what becomes of runs that were given up

Observability for the task that ran twice, no change of logic. The line for a worker that ended names the reason. A worker that is believed again after it was marked ended is logged. When a worker reports a run that had been released without its end, a line says why and when it was released, the worker's clock beside the last lease that was sent, and whether the task runs elsewhere: that tells a lease that outlasted the leader's reckoning from a worker that was marked ended by mistake.

--- /dev/null
+++ b/internal/sched/engine/giveup.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+)
+
+// givenUpRun says why and when a run was released although its end was not known.
+type givenUpRun struct {
+	reason string
+	at     time.Time
+}
+
+// giveUpRuns releases the runs of a worker although their ends are not known. The worker remembers them, so that the
+// log can tell what had become of them if it replies again.
+func (sc *Scheduler) giveUpRuns(w *worker, reason string) {
+	now := time.Now()
+	for key, r := range w.runs {
+		if w.givenUp == nil {
+			w.givenUp = map[work.RunKey]givenUpRun{}
+		}
+		w.givenUp[key] = givenUpRun{reason, now}
+		sc.releaseRun(r)
+	}
+}
+
+// logGivenUp logs what a worker reports of a run that was given up: an end, or that it is active. It also logs whether
+// the leases that this leader sent have expired on the worker's clock, and how many other runs the task has.
+func (sc *Scheduler) logGivenUp(w *worker, key work.RunKey, state string) {
+	g, ok := w.givenUp[key]
+	if !ok {
+		return
+	}
+	copies := 0
+	if s := sc.findStep(key.Task); s != nil {
+		copies = len(s.tasks[key.Task.Index].runs)
+	}
+	sc.log.Warn("engine: worker reports a run that was given up", zap.Stringer("task", key.Task),
+		zap.Int64("run", key.Number), zap.String("worker", string(w.ID)), zap.String("how", state),
+		zap.String("why", g.reason), zap.Duration("ago", time.Since(g.at)), zap.Int64("clock", w.clock),
+		zap.Int64("until", w.lastLeaseEnd), zap.Bool("expired", w.clock > w.lastLeaseEnd), zap.Int("copies", copies))
+}
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -110,7 +110,7 @@
 		return
 	}
 	if result == Replaced {
-		sc.markEnded(w)
+		sc.markEnded(w, "another worker answers at its address")
 		return
 	}
 	sc.markUnresponsive(w)
@@ -144,6 +144,7 @@
 	w.confirmed = true
 	sc.handleEnds(w, reply.Ended)
 	sc.reconcileRuns(w, reply.Active, sent)
+	w.givenUp = nil
 	if first {
 		sc.log.Info("engine: run lists of worker confirmed", zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)),
 			zap.Int("ends", len(reply.Ended)), zap.Int64("born", w.Incarnation))
@@ -195,6 +196,7 @@
 // is complete, its job has ended or, unless the step is speculative, the task has another run.
 func (sc *Scheduler) adopt(w *worker, a work.Active) *run {
 	now := time.Now()
+	sc.logGivenUp(w, a.Run, "active")
 	r := &run{key: a.Run, worker: w, phase: active, startedAt: now, phaseSince: now, speed: a.Percent, throttle: a.Percent}
 	w.runs[a.Run] = r
 	s := sc.findStep(a.Run.Task)
@@ -256,6 +258,7 @@
 	s := sc.findStep(e.Run.Task)
 	sc.log.Info("engine: run ended", zap.Stringer("task", e.Run.Task), zap.Int64("run", e.Run.Number),
 		zap.String("worker", string(w.ID)), zap.String("how", string(e.How)))
+	sc.logGivenUp(w, e.Run, string(e.How))
 	w.updateFailureRate(e.How)
 	if r != nil {
 		sc.releaseRun(r)
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -48,6 +48,8 @@
 	cordoned bool
 	// failureRate is the moving average of failed runs among recent ones, for the choice between workers.
 	failureRate float64
+	// givenUp are the runs that were released although their ends are not known, until the worker replies again.
+	givenUp map[work.RunKey]givenUpRun
 }
 
 // free returns the capacity that is not reserved.
@@ -104,6 +106,8 @@
 	w.listed = true
 	if w.ended && time.Since(w.endedAt) > endedTTL {
 		// Still listed, so the worker was marked ended by mistake.
+		sc.log.Warn("engine: worker is still listed after it was marked ended; using it again",
+			zap.String("worker", string(w.ID)), zap.Duration("after", time.Since(w.endedAt)))
 		w.ended, w.confirmed = false, false
 	}
 }
@@ -116,10 +120,8 @@
 // is confirmed or ended, its end numbers, its clock and its leases.
 func (sc *Scheduler) handleRestart(w *worker, incarnation int64) {
 	sc.log.Info("engine: worker restarted; releasing its runs", zap.String("worker", string(w.ID)),
-		zap.Int64("born", incarnation), zap.Int("runs", len(w.runs)))
-	for _, r := range w.runs {
-		sc.releaseRun(r)
-	}
+		zap.Int64("born", incarnation), zap.Int64("former", w.Incarnation), zap.Int("runs", len(w.runs)))
+	sc.giveUpRuns(w, "worker restarted")
 	w.Incarnation = incarnation
 	w.confirmed, w.ended = false, false
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
@@ -128,16 +130,14 @@
 	delete(sc.inherited, w.ID)
 }
 
-// markEnded releases the runs of a worker that has certainly ended.
-func (sc *Scheduler) markEnded(w *worker) {
+// markEnded releases the runs of a worker that has certainly ended, for a reason that the log names.
+func (sc *Scheduler) markEnded(w *worker, reason string) {
 	if w.ended {
 		return
 	}
 	sc.log.Info("engine: worker ended; releasing its runs", zap.String("worker", string(w.ID)),
-		zap.Int("runs", len(w.runs)))
-	for _, r := range w.runs {
-		sc.releaseRun(r)
-	}
+		zap.String("why", reason), zap.Int("runs", len(w.runs)))
+	sc.giveUpRuns(w, reason)
 	w.ended = true
 	w.endedAt = time.Now()
 	sc.clearInUse(w)
@@ -159,7 +159,7 @@
 // MarkWorkerEnded records that the platform has taken a worker's machine away, which ends all runs on it.
 func (sc *Scheduler) MarkWorkerEnded(id work.WorkerID) {
 	if w, ok := sc.workers[id]; ok {
-		sc.markEnded(w)
+		sc.markEnded(w, "its machine was taken away")
 	}
 }
 
@@ -176,7 +176,7 @@
 		if sc.inherited[id] != nil || !w.unresponsiveSince.IsZero() && w.unresponsiveSince.Before(sent) {
 			sc.log.Info("engine: machine runs another worker or none; marking worker ended", zap.String("machine", w.Machine),
 				zap.String("worker", string(id)), zap.String("now", string(current)))
-			sc.markEnded(w)
+			sc.markEnded(w, "its machine runs another worker or none")
 		}
 	}
 }
@@ -325,10 +325,9 @@
 func (sc *Scheduler) expireLeases(w *worker, now time.Time) {
 	sc.log.Warn("engine: leases of an unresponsive worker have expired; releasing its runs",
 		zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)),
-		zap.Duration("silent", now.Sub(w.unresponsiveSince)))
-	for _, r := range w.runs {
-		sc.releaseRun(r)
-	}
+		zap.Duration("silent", now.Sub(w.unresponsiveSince)), zap.Int64("clock", w.clock),
+		zap.Int64("until", w.lastLeaseEnd))
+	sc.giveUpRuns(w, "leases expired")
 	sc.clearInUse(w)
 	w.confirmed = false
 }
