sched/engine: Give up runs only after a patient renewal without a reply

Cause: a leader with more work than processor time reads replies too late. Its calls time out after 450 ms although every command and renewal reaches the worker and every reply comes back at once. It then takes the worker for unresponsive, extends no leases, and when they have expired it releases the runs and starts their tasks elsewhere, while the reply that says that they are done lies unread. The lease does protect against two runs at once, not against this. Class of fault: a time-out on one's own side taken as evidence about the other side.

Now the renewals of an unresponsive worker with runs become patient 2 s before its leases expire: a new connection and 1 s more time. The runs are released when the leases have expired and such a renewal got no reply. With a worker that can't be reached that takes no longer than before.

The script "silent" now needs such a renewal before the task starts again; it is stricter than before.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -27,6 +27,9 @@
 	// maxUnresponsiveBackoff.
 	unresponsiveBackoff    = 250 * time.Millisecond
 	maxUnresponsiveBackoff = time.Second
+	// patientLead is how long before the leases of an unresponsive worker expire its renewals become patient, so that one
+	// has failed when they do.
+	patientLead = 2 * time.Second
 )
 
 // Renewal reads a worker's run lists and, if ExtendLease is set, extends the lease of all runs on it.
@@ -41,6 +44,9 @@
 	AckedEnd int64
 	// Wait is how long the worker may delay its reply until a run ends; 0 asks for a reply at once.
 	Wait time.Duration
+	// Patient means that tasks will start elsewhere if there is no reply: it is worth a new connection and a long
+	// time-out.
+	Patient bool
 }
 
 // NextRenewal returns the next renewal of a worker and how long after the end of the previous one it is due, or false
@@ -53,6 +59,10 @@
 	o := Renewal{Worker: id, Address: w.Address, AckedEnd: w.ackedEnd}
 	if !w.unresponsiveSince.IsZero() && (w.listed || len(w.runs) > 0 || sc.inherited[id] != nil) {
 		// No lease extension: if renewals of unknown outcome kept extending the lease, it would never be known to expire.
+		o.Patient = len(w.runs) > 0 && !w.silent && time.Until(w.leaseExpiry()) < patientLead
+		if o.Patient {
+			return o, unresponsiveBackoff, true
+		}
 		return o, min(unresponsiveBackoff*time.Duration(w.failures), maxUnresponsiveBackoff), true
 	}
 	if !w.confirmed {
@@ -114,6 +124,7 @@
 		return
 	}
 	sc.markUnresponsive(w)
+	w.silent = w.silent || o.Patient
 }
 
 // HandleRenewal applies the reply to a renewal that was sent at the given time.
@@ -139,6 +150,7 @@
 	w.clock, w.clockReadAt = reply.Clock, time.Now()
 	w.unresponsiveSince = time.Time{}
 	w.failures = 0
+	w.silent = false
 	w.ackDelivered = max(w.ackDelivered, o.AckedEnd)
 	first := !w.confirmed
 	w.confirmed = true
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -97,7 +97,9 @@
 		s.handleRenewal(d)
 	case "unanswered":
 		id := work.WorkerID(d.CmdArgs[0].Key)
-		s.scheduler.HandleRenewalFailure(Renewal{Worker: id}, NoReply)
+		o := s.renewals[id]
+		o.Worker = id
+		s.scheduler.HandleRenewalFailure(o, NoReply)
 	case "wait":
 		s.wait(d)
 	case "cancel":
@@ -327,7 +329,11 @@
 	}
 	r = s.scheduler.PrepareRenewal(r)
 	s.renewals[id] = r
-	return fmt.Sprintf("after %s, until %d, seen %d, wait %s", delay, r.LeaseEnd, r.AckedEnd, r.Wait)
+	text := fmt.Sprintf("after %s, until %d, seen %d, wait %s", delay, r.LeaseEnd, r.AckedEnd, r.Wait)
+	if r.Patient {
+		text += ", patient"
+	}
+	return text
 }
 
 func needsTicket(m map[string]string) bool { _, ok := m["advised"]; return ok }
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -41,6 +41,8 @@
 	unresponsiveSince time.Time
 	// failures counts the requests without a reply since the last reply.
 	failures int
+	// silent means that a patient renewal has got no reply since the last reply, see Renewal.Patient.
+	silent bool
 	// backoffUntil is until when the worker gets no tasks because it declined one.
 	backoffUntil time.Time
 	// cordoned means that the worker is about to be taken away and gets no new tasks but long-running ones that fit
@@ -320,6 +322,13 @@
 	}
 }
 
+// leasesExpired reports whether the leases of an unresponsive worker have all expired. Its runs may have ended before
+// that, so while it has any, a patient renewal must have failed too: replies that this process did not read in time may
+// have said so.
+func (w *worker) leasesExpired(now time.Time) bool {
+	return !w.unresponsiveSince.IsZero() && w.inUse && now.After(w.leaseExpiry()) && (w.silent || len(w.runs) == 0)
+}
+
 // expireLeases releases the runs of an unresponsive worker whose leases have all expired. The worker gets no tasks
 // until it has reported its run lists again.
 func (sc *Scheduler) expireLeases(w *worker, now time.Time) {
@@ -347,7 +356,7 @@
 	now := time.Now()
 	sc.logStalls(now)
 	for id, w := range sc.workers {
-		if !w.unresponsiveSince.IsZero() && w.inUse && now.After(w.leaseExpiry()) && sc.inherited[id] == nil {
+		if sc.inherited[id] == nil && w.leasesExpired(now) {
 			sc.expireLeases(w, now)
 		}
 		if !w.listed && len(w.runs) == 0 && !w.inUse && (w.ended || !w.unresponsiveSince.IsZero()) &&
