sched/engine: Don't take a cut-off list of ends for complete

A worker lists at most 500 ended runs in one reply. While the store is away ends are not acknowledged, and tasks of accepted jobs go on, so that a worker can have more. A run whose end did not fit is neither active nor ended; the leader stopped it and, once a later list lacked it too, started its task again, although it was done and its end was acknowledged later.

The script "truncated" fails without the change: the run is stopped.

--- a/internal/model/work/worker.go
+++ b/internal/model/work/worker.go
@@ -87,4 +87,6 @@
 	Clock  int64
 	Active []Active
 	Ended  []End
+	// Truncated means that the worker may have more ends than Ended lists.
+	Truncated bool
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -155,7 +155,7 @@
 	first := !w.confirmed
 	w.confirmed = true
 	sc.handleEnds(w, reply.Ended)
-	sc.reconcileRuns(w, reply.Active, sent)
+	sc.reconcileRuns(w, reply, sent)
 	w.givenUp = nil
 	if first {
 		sc.log.Info("engine: run lists of worker confirmed", zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)),
@@ -168,10 +168,11 @@
 	}
 }
 
-// reconcileRuns updates the scheduler's runs on a worker from the worker's list of active runs.
-func (sc *Scheduler) reconcileRuns(w *worker, listed []work.Active, sent time.Time) {
-	present := make(map[work.RunKey]bool, len(listed))
-	for _, a := range listed {
+// reconcileRuns updates the scheduler's runs on a worker from the worker's list of active runs. A run that is not listed
+// may have ended unless the list of ends is complete.
+func (sc *Scheduler) reconcileRuns(w *worker, reply work.RenewalReply, sent time.Time) {
+	present := make(map[work.RunKey]bool, len(reply.Active))
+	for _, a := range reply.Active {
 		present[a.Run] = true
 		r, ok := w.runs[a.Run]
 		if !ok {
@@ -185,6 +186,9 @@
 		r.speed, r.loadSignal = a.Percent, a.LoadSignal
 		sc.observeLatency(r)
 	}
+	if reply.Truncated {
+		return
+	}
 	for key, r := range w.runs {
 		if present[key] || r.phaseSince.After(sent) || r.phase == startSent {
 			// The reply may be older than the start of a run that it does not list.
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -356,10 +356,11 @@
 }
 
 // handleRenewal delivers a worker's reply to a renewal. The input has a line for each run: "run TASK number=N percent=N
-// level=N saved=TEXT" for an active one, "end TASK number=N at=N how=WORD saved=TEXT" for an ended one.
+// level=N saved=TEXT" for an active one, "end TASK number=N at=N how=WORD saved=TEXT" for an ended one; the argument
+// "truncated" means that the worker has more ends.
 func (s *script) handleRenewal(d *datadriven.TestData) {
 	id := work.WorkerID(d.CmdArgs[0].Key)
-	reply := work.RenewalReply{Incarnation: 1, Clock: time.Now().UnixMilli()}
+	reply := work.RenewalReply{Incarnation: 1, Clock: time.Now().UnixMilli(), Truncated: d.HasArg("truncated")}
 	for _, w := range s.workers {
 		if w.ID == id {
 			reply.Incarnation = w.Incarnation
