leader: Start nothing on a worker while its machine may be taken away

A machine is moved or maintained once it is empty. While the call was in progress a long-running task could still start on its cordoned worker. The platform confirms an operation also if it took place earlier, for example in the term of a former leader that had not stored the wave's progress. Then the worker lives on, but the leader took it for ended, released the new run and started the task elsewhere: two runs at once until the lease expired. When the operation did take place, the task was lost at its start.

A worker is now closed to all tasks from the call on until the platform has declined it, and while its outcome is unknown.

--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -48,6 +48,8 @@
 	// cordoned means that the worker is about to be taken away and gets no new tasks but long-running ones that fit
 	// nowhere else and need no ticket.
 	cordoned bool
+	// closed means that the worker may be taken away at any moment and gets no new tasks at all.
+	closed bool
 	// failureRate is the moving average of failed runs among recent ones, for the choice between workers.
 	failureRate float64
 	// givenUp are the runs that were released although their ends are not known, until the worker replies again.
@@ -203,6 +205,14 @@
 	}
 }
 
+// Close keeps every new task away from a worker that may be taken away at any moment, or lifts that. MarkWorkerEnded
+// must find no run there: the platform confirms an operation also if it took place before this worker started.
+func (sc *Scheduler) Close(id work.WorkerID, closed bool) {
+	if w, ok := sc.workers[id]; ok {
+		w.closed = closed
+	}
+}
+
 // markUnresponsive records that a worker did not reply.
 func (sc *Scheduler) markUnresponsive(w *worker) {
 	w.failures++
@@ -217,8 +227,8 @@
 // usable reports whether a worker may get tasks now; callers check separately whether it is cordoned. The store must
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
-	return w.inUseStored && w.listed && !w.ended && w.confirmed && !w.Leaving && w.unresponsiveSince.IsZero() &&
-		!sc.evacuated[w.Zone] && now.After(w.backoffUntil)
+	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && !w.Leaving &&
+		w.unresponsiveSince.IsZero() && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
 // evict stops long-running tasks on leaving workers, those on cordoned workers as far as disruption budgets and free
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -219,7 +219,8 @@
 }
 
 // dueOperations cordons the workers of the operations that have not started, except those with a call in progress or in
-// the pause after one. Of these operations it marks those whose machine is empty as calling and returns them.
+// the pause after one. Of these operations it marks those whose machine is empty as calling, closes their workers and
+// returns them.
 func (m *mover) dueOperations() []*operation {
 	var due []*operation
 	now := time.Now()
@@ -241,6 +242,7 @@
 			}
 		}
 		op.calling, op.sentAt = true, now
+		m.session.scheduler.Close(work.WorkerID(op.worker), true)
 		due = append(due, op)
 	}
 	return due
@@ -270,6 +272,13 @@
 	if !leaving {
 		s.machineCalls--
 	}
+	m.handleResult(op, result)
+	s.mu.Unlock()
+}
+
+// handleResult handles the result of a call.
+func (m *mover) handleResult(op *operation, result Result) {
+	s := m.session
 	op.calling = false
 	switch result {
 	case Started:
@@ -285,9 +294,10 @@
 		m.busyUntil[op.machine] = time.Now().Add(busyBackoff)
 		m.releaseOperation(op)
 	case Unavailable, Unknown:
-		// The call is repeated. The worker stays cordoned meanwhile, because after Unknown the platform may still carry
-		// the call out.
+		// The call is repeated. The worker stays cordoned meanwhile, and after Unknown also closed, because the platform
+		// may still carry the call out.
 		op.retryAt = time.Now().Add(busyBackoff)
+		s.scheduler.Close(work.WorkerID(op.worker), result == Unknown)
 	case Refused, Fenced:
 		if op.pool != "" {
 			m.refusedPools[op.machine] = append(m.refusedPools[op.machine], op.pool)
@@ -297,14 +307,14 @@
 		}
 		m.releaseOperation(op)
 	}
-	s.mu.Unlock()
 }
 
-// releaseOperation removes an operation and uncordons its worker.
+// releaseOperation removes an operation and opens its worker to tasks again.
 func (m *mover) releaseOperation(op *operation) {
 	delete(m.operations, op.machine)
 	if op.worker != "" {
 		m.session.scheduler.Cordon(work.WorkerID(op.worker), false)
+		m.session.scheduler.Close(work.WorkerID(op.worker), false)
 	}
 }
 
--- a/internal/serve/leader/moves_test.go
+++ b/internal/serve/leader/moves_test.go
@@ -83,3 +83,41 @@
 		}
 	})
 }
+
+// Guards against two runs of a long-running task at once: it was started on a cordoned worker while the call for the
+// maintenance of its machine was in progress, released when the call was confirmed, and started elsewhere, although the
+// worker lived on because the maintenance had taken place earlier.
+func TestNothingStartsDuringMachineCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := engine.New(engine.DefaultOptions(), 1, nil)
+		scheduler.Configure(work.NewConfig(work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}}))
+		scheduler.SetWorkers([]work.Worker{{ID: "w", Pool: "p", Capacity: work.Need{CPU: 1000}, Incarnation: 1}})
+		scheduler.HandleRenewal(engine.Renewal{Worker: "w"}, work.RenewalReply{Incarnation: 1}, time.Now())
+		if _, err := scheduler.Submit(work.Job{ID: "0123456789abcdef", Queue: "q",
+			Steps: []work.Step{{Count: 1, LongRunning: true, Need: work.Need{CPU: 100}}}}); err != nil {
+			t.Fatal(err)
+		}
+		b, err := scheduler.Batch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		scheduler.HandleCommit(b)
+		op := &operation{machine: "m", worker: "w", wave: 1}
+		m := &mover{session: &session{log: zap.NewNop(), scheduler: scheduler}, busyUntil: map[string]time.Time{},
+			operations: map[string]*operation{"m": op}}
+		expect := func(when string, starts int) {
+			time.Sleep(busyBackoff)
+			if c := scheduler.Commands(); len(c) != starts {
+				t.Errorf("%s: %d starts, want %d", when, len(c), starts)
+			}
+		}
+		if len(m.dueOperations()) != 1 {
+			t.Fatal("the machine is empty and its maintenance not due")
+		}
+		expect("during the call", 0)
+		m.handleResult(op, Unknown)
+		expect("while the platform may carry the call out", 0)
+		m.handleResult(op, Busy)
+		expect("after the platform has declined", 1)
+	})
+}
