sched/engine: Acknowledge ends as their results are stored

While the store took fewer rows than changed, no end of a run was acknowledged: a batch acknowledged ends only if it held every change. Meanwhile the workers listed all their ended runs in each reply, and reading these lists took the leader's processor time from its transactions, so that the backlog did not shrink: callers' submissions timed out, and replies of workers were read after their time-out.

An end now keeps the version that its job had after it. A batch acknowledges the ends of a worker up to the first one whose job the store does not hold in that version. An end is still never acknowledged before its result is stored, which the test checks for every round of a backlog of three batches; it fails on the former code, where no end is acknowledged in the first two rounds.

--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -112,8 +112,9 @@
 	return false
 }
 
-// Batch returns the next writes for the store. If they don't include every change, the batch acknowledges no ends. The
-// deletions of jobs past their retention are returned only once, other changes until HandleCommit confirms them.
+// Batch returns the next writes for the store. It acknowledges each end whose change it or an earlier batch holds, if the
+// same is true of all earlier ends of its worker. The deletions of jobs past their retention are returned only once,
+// other changes until HandleCommit confirms them.
 func (sc *Scheduler) Batch() (Batch, error) {
 	c := Batch{jobVersions: map[work.JobID]int{}, jobStates: map[work.JobID]work.State{}, inUse: map[work.WorkerID]bool{},
 		ackedEnds: map[work.WorkerID]int64{}, incarnations: map[work.WorkerID]int64{}}
@@ -180,16 +181,34 @@
 		sc.deleted = sc.deleted[1:]
 	}
 	c.Left = len(newJobs) + len(others) - len(c.jobVersions)
-	if complete {
-		for id, w := range sc.workers {
-			if w.handledEnd > w.ackedEnd {
-				c.ackedEnds[id], c.incarnations[id] = w.handledEnd, w.Incarnation
-			}
+	for id, w := range sc.workers {
+		if n := sc.lastStoredEnd(w, c.jobVersions); n > w.ackedEnd {
+			c.ackedEnds[id], c.incarnations[id] = n, w.Incarnation
 		}
 	}
 	return c, nil
 }
 
+// unackedEnd is the end of a run of a job, which had a version after the end was handled. The version is 0 if the job was
+// unknown.
+type unackedEnd struct {
+	number  int64
+	job     work.JobID
+	version int
+}
+
+// lastStoredEnd returns the number of the last end of a worker's runs such that the store holds the changes of this and
+// all earlier ends once it holds the given versions of jobs, or 0.
+func (sc *Scheduler) lastStoredEnd(w *worker, versions map[work.JobID]int) (last int64) {
+	for _, u := range w.unackedEnds {
+		if versions[u.job] < u.version && !sc.IsStored(u.job, u.version) {
+			break
+		}
+		last = u.number
+	}
+	return last
+}
+
 // dirtyJobs returns the jobs to store: new ones, whose callers wait for the reply, and others, of which those that have
 // ended come first, each by age. The order matters because a slow store takes fewer jobs than have changed.
 func (sc *Scheduler) dirtyJobs() (newJobs, others []*job) {
@@ -291,6 +310,7 @@
 	for id, n := range c.ackedEnds {
 		if w, ok := sc.workers[id]; ok && w.Incarnation == c.incarnations[id] {
 			w.ackedEnd = max(w.ackedEnd, n)
+			w.unackedEnds = slices.DeleteFunc(w.unackedEnds, func(u unackedEnd) bool { return u.number <= n })
 		}
 	}
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -265,6 +265,11 @@
 		}
 		w.handledEnd = e.Number
 		sc.handleEnd(w, e)
+		u := unackedEnd{number: e.Number, job: e.Run.Task.Job}
+		if j, ok := sc.jobs[u.job]; ok {
+			u.version = j.version
+		}
+		w.unackedEnds = append(w.unackedEnds, u)
 	}
 }
 
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -35,6 +35,8 @@
 	// The worker numbers the ends of its runs. handledEnd is the number of the last end handled, ackedEnd that of the
 	// last one whose result is stored.
 	handledEnd, ackedEnd int64
+	// unackedEnds are the handled ends above ackedEnd, by number.
+	unackedEnds []unackedEnd
 	// ackDelivered is the highest acknowledged end number that the worker has received.
 	ackDelivered int64
 	// unresponsiveSince is since when the worker has not replied; zero while it does.
@@ -129,6 +131,7 @@
 	w.Incarnation = incarnation
 	w.confirmed, w.ended = false, false
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
+	w.unackedEnds = nil
 	w.clock, w.lastLeaseEnd = 0, 0
 	w.clockReadAt = time.Time{}
 	delete(sc.inherited, w.ID)
