sched/engine: Rank the steps of a backlog with less work

With thousands of waiting steps the ranking is the largest part of a planning pass. Each comparison evaluated all seven keys, two of them texts; the list was sorted a second time for the customers over their shares; and the waiting work and the claim of each step were computed twice.

Comparisons now stop at the first key that differs, and a step's latest start is a number. As the second order differs from the first only in that the steps over their shares go behind the others of their priority and class, one pass over the list establishes it. The order is the same: the property test checks that ranked lists are sorted, and fails without that pass.

--- a/internal/sched/engine/candidates_test.go
+++ b/internal/sched/engine/candidates_test.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// startAll starts waiting tasks until no more fit, and confirms the starts; it returns their number.
+func startAll(sc *Scheduler) (n int) {
+	for {
+		commands := sc.Commands()
+		if len(commands) == 0 {
+			return n
+		}
+		for _, c := range commands {
+			sc.HandleOutcome(c, Applied, time.Now())
+		}
+		n += len(commands)
+	}
+}
+
 // newFullPool returns a scheduler whose workers are full and whose jobs' steps wait.
 func newFullPool(t fataler, workers, jobs int) *Scheduler {
 	t.Helper()
@@ -57,7 +71,7 @@
 		Customers: map[string]work.Customer{"c1": {Name: "c1", Weight: 1}, "c2": {Name: "c2", Weight: 2}}}, list)
 	submit := func(id, count int, need work.Need) {
 		j := work.Job{ID: work.JobID(fmt.Sprintf("%016x", id)), Queue: "q", Customer: fmt.Sprint("c", 1+id%2),
-			Accepted: time.Now().UnixMilli(),
+			Accepted: time.Now().UnixMilli() - int64(id*7919%5003),
 			Steps:    []work.Step{{Count: count, Need: need, Estimate: time.Second}}}
 		if _, err := sc.Submit(j); err != nil {
 			t.Fatal(err)
@@ -67,7 +81,7 @@
 	for i := range 4 {
 		submit(i, workers, work.Need{CPU: 1000, Memory: 2000})
 	}
-	if n := len(sc.Commands()); n != 4*workers {
+	if n := startAll(sc); n != 4*workers {
 		t.Fatalf("%d starts, want %d", n, 4*workers)
 	}
 	for i := range jobs {
@@ -206,6 +220,10 @@
 			}
 		}
 		now = now.Add(400 * time.Millisecond)
+		ranked := bounded.rankSteps(bounded.pool("p"), bounded.waitingSteps(bounded.pool("p"), now), now)
+		if !slices.IsSortedFunc(ranked, rankedStep.compare) {
+			t.Fatalf("steps are not in the order of their ranks: %v", ranked)
+		}
 		got, want := bounded.placeWaiting(bounded.pool("p"), now), placeWithoutBound(reference, reference.pool("p"), now)
 		for _, list := range [][]Command{got, want} {
 			clearLeaseEnds(list)
@@ -272,3 +290,19 @@
 		w.Capacity.CPU = w.reserved.CPU + 700
 	}
 }
+
+// BenchmarkBacklog measures a planning pass that starts tasks while thousands of steps wait.
+func BenchmarkBacklog(b *testing.B) {
+	sc := newFullPool(b, 300, 4000)
+	for _, w := range sc.workers {
+		w.Capacity = work.Need{CPU: 16000, Memory: 32000}
+	}
+	for b.Loop() {
+		for _, c := range sc.Commands() {
+			if start, ok := c.(Start); ok {
+				sc.HandleOutcome(c, Applied, time.Now())
+				sc.releaseRun(sc.workers[start.Worker].runs[start.Run])
+			}
+		}
+	}
+}
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -77,8 +77,9 @@
 type rank struct {
 	priority, class int
 	// overShare means that the customer's running work and its waiting work of earlier rank use up its share of the pool.
-	overShare   bool
-	latestStart time.Time
+	overShare bool
+	// latestStart is in nanoseconds since 1970.
+	latestStart int64
 }
 
 // rankedStep is a step with waiting tasks and its rank.
@@ -118,16 +119,46 @@
 	}
 	slices.SortFunc(list, rankedStep.compare)
 	if sc.markOverShare(p, list, now) {
-		slices.SortFunc(list, rankedStep.compare)
+		list = moveOverShareBack(list)
 	}
 	return list
 }
 
+// moveOverShareBack moves the steps over their customers' shares behind the others of their priority and class, in a
+// list that is sorted apart from that.
+func moveOverShareBack(list []rankedStep) []rankedStep {
+	moved := make([]rankedStep, 0, len(list))
+	for len(list) > 0 {
+		end := 1
+		for end < len(list) && list[end].rank.priority == list[0].rank.priority && list[end].rank.class == list[0].rank.class {
+			end++
+		}
+		for _, overShare := range []bool{false, true} {
+			for _, e := range list[:end] {
+				if e.rank.overShare == overShare {
+					moved = append(moved, e)
+				}
+			}
+		}
+		list = list[end:]
+	}
+	return moved
+}
+
 // compare orders steps by priority, class, share and time; it never returns 0 for two steps.
 func (e rankedStep) compare(o rankedStep) int {
-	return cmp.Or(cmp.Compare(e.rank.priority, o.rank.priority), cmp.Compare(e.rank.class, o.rank.class),
-		compareBool(e.rank.overShare, o.rank.overShare), e.rank.latestStart.Compare(o.rank.latestStart),
-		cmp.Compare(e.state.job.ID, o.state.job.ID), cmp.Compare(e.state.round, o.state.round),
+	x, y := &e.rank, &o.rank
+	switch {
+	case x.priority != y.priority:
+		return cmp.Compare(x.priority, y.priority)
+	case x.class != y.class:
+		return cmp.Compare(x.class, y.class)
+	case x.overShare != y.overShare:
+		return compareBool(x.overShare, y.overShare)
+	case x.latestStart != y.latestStart:
+		return cmp.Compare(x.latestStart, y.latestStart)
+	}
+	return cmp.Or(cmp.Compare(e.state.job.ID, o.state.job.ID), cmp.Compare(e.state.round, o.state.round),
 		cmp.Compare(e.state.step, o.state.step))
 }
 
@@ -157,9 +188,10 @@
 	if !s.due.IsZero() {
 		due = s.due.Add(sc.jobDeadline(s.job).Sub(time.UnixMilli(s.job.Accepted)))
 	}
-	r.latestStart = due.Add(-sc.remaining(s))
+	latestStart := due.Add(-sc.remaining(s))
+	r.latestStart = latestStart.UnixNano()
 	r.class = classOnTime
-	if r.latestStart.Before(now) {
+	if latestStart.Before(now) {
 		r.class = classLate
 	}
 	return r
--- a/internal/sched/engine/record_test.go
+++ b/internal/sched/engine/record_test.go
@@ -63,7 +63,7 @@
 		}
 	}
 	store(t, sc)
-	sc.Commands()
+	startAll(sc)
 	// The ends come in another order than the jobs are stored in.
 	ended := map[work.WorkerID][]work.JobID{}
 	for i := range jobs {
--- a/internal/sched/engine/share.go
+++ b/internal/sched/engine/share.go
@@ -27,12 +27,14 @@
 func (sc *Scheduler) markOverShare(p *pool, list []rankedStep, now time.Time) (marked bool) {
 	claimed := claims{}
 	total, horizon := 0.0, minShareHorizon
-	for _, e := range list {
+	// The waiting work of each step in the list, and the claim that it belongs to.
+	waiting, claimOf := make([]float64, len(list)), make([]*share.Claim, len(list))
+	for i, e := range list {
 		if e.rank.class != classLongRunning {
-			own := sc.waitingWork(e.state)
-			total += own
+			waiting[i], claimOf[i] = sc.waitingWork(e.state), claimed.forCustomerOf(e.state.job, sc.config)
+			total += waiting[i]
 			horizon = max(horizon, e.state.job.deadline.Sub(now))
-			claimed.forCustomerOf(e.state.job, sc.config).Normal += int(own)
+			claimOf[i].Normal += int(waiting[i])
 		}
 	}
 	finiteCPU := 0.0 // what finite tasks may use, in thousandths of a core
@@ -59,12 +61,11 @@
 	share.Divide(slices.SortedFunc(maps.Values(claimed), func(x, y *share.Claim) int {
 		return cmp.Compare(x.Team, y.Team)
 	}), capacity)
-	for i, e := range list {
-		if e.rank.class != classLongRunning {
-			c := claimed.forCustomerOf(e.state.job, sc.config)
+	for i, c := range claimOf {
+		if c != nil {
 			list[i].rank.overShare = float64(c.Allocated) >= c.Due()
 			marked = marked || list[i].rank.overShare
-			c.Allocated += int(sc.waitingWork(e.state))
+			c.Allocated += int(waiting[i])
 		}
 	}
 	return marked
