sched/engine: Bound the starts whose replies are outstanding

After a change of leader, or when many machines became free at once, one planning pass issued all starts for which there was capacity, thousands on a large fleet, each with a time-out of 450 ms that ran while the request waited for processor time. The leader then took workers for dead that had replied, and its transactions took 0.3 s to 0.5 s instead of 15 ms, so that submissions timed out.

The scheduler now bounds the starts without an outcome; the rest of a backlog waits in the plan, where it is ranked anew in every pass. The bound follows the processor time that the process gets: from 64 it grows up to 512 while replies arrive within 50 ms, and shrinks while more than one in nine is late. A start counts for 100 ms at most: workers that do not reply delay the others, but cannot hold them until the time-out. The outcome of a start wakes the planning loop if the last pass ended at the bound. Stops, throttles, renewals and ticket requests are not bounded; a gang may exceed the bound because its tasks start together.

--- a/internal/sched/engine/candidates_test.go
+++ b/internal/sched/engine/candidates_test.go
@@ -220,6 +220,9 @@
 			}
 		}
 		now = now.Add(400 * time.Millisecond)
+		for _, sc := range both {
+			sc.pending.prune(now)
+		}
 		ranked := bounded.rankSteps(bounded.pool("p"), bounded.waitingSteps(bounded.pool("p"), now), now)
 		if !slices.IsSortedFunc(ranked, rankedStep.compare) {
 			t.Fatalf("steps are not in the order of their ranks: %v", ranked)
@@ -291,7 +294,7 @@
 	}
 }
 
-// BenchmarkBacklog measures a planning pass that starts tasks while thousands of steps wait.
+// BenchmarkBacklog measures a planning pass that starts as many tasks as may be pending while thousands of steps wait.
 func BenchmarkBacklog(b *testing.B) {
 	sc := newFullPool(b, 300, 4000)
 	for _, w := range sc.workers {
--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -94,6 +94,7 @@
 func (sc *Scheduler) HandleOutcome(c Command, result Outcome, sent time.Time) {
 	switch c := c.(type) {
 	case Start:
+		sc.pending.handleOutcome(c.Run, result, sent, time.Now())
 		sc.handleStartOutcome(c, result)
 	case Stop:
 		sc.handleStopOutcome(c, result)
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -74,6 +74,7 @@
 	dirtyWorkers map[work.WorkerID]bool
 	// stopping are the runs that are to be stopped.
 	stopping map[work.RunKey]*run
+	pending  pendingStarts
 	// comparisons counts the comparisons of a waiting step with a worker's free capacity.
 	comparisons int
 }
@@ -94,7 +95,7 @@
 		jobs: map[work.JobID]*job{}, workers: map[work.WorkerID]*worker{}, pools: map[string]*pool{},
 		customerUsage: map[string]work.Need{}, runTimes: map[string]*runTimeModel{}, dirty: map[work.JobID]*job{},
 		arrived: map[string]float64{}, inherited: map[work.WorkerID]*worker{}, dirtyWorkers: map[work.WorkerID]bool{},
-		stopping: map[work.RunKey]*run{},
+		stopping: map[work.RunKey]*run{}, pending: newPendingStarts(),
 	}
 }
 
--- /dev/null
+++ b/internal/sched/engine/pending.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+)
+
+const (
+	// minPendingStarts and maxPendingStarts are the limits of the bound on the starts whose replies are outstanding. The
+	// bound makes a backlog wait in the plan, where it is ranked, and not in requests whose time-outs run. A gang may
+	// exceed it.
+	minPendingStarts, maxPendingStarts = 64, 512
+	// pendingStartTimeout is how long a start counts towards the bound, so that workers that do not reply don't keep
+	// tasks from others.
+	pendingStartTimeout = 100 * time.Millisecond
+	// lateReply is the time from which a reply shows that this process has more to do than it gets processor time for.
+	// Workers reply within about 5 ms.
+	lateReply = 50 * time.Millisecond
+	// startLimitGain is how much the bound grows with each reply in time while it holds starts back, startLimitLoss how
+	// much it shrinks with each late one. It grows unless more than one in nine replies is late, as those of slow workers
+	// are.
+	startLimitGain, startLimitLoss = 1.0 / 8, 1
+)
+
+// pendingStarts bounds the starts whose replies are outstanding. The bound adapts to the processor time that this process
+// gets: it grows while most replies arrive in time, and shrinks while they are late.
+type pendingStarts struct {
+	// issued are the starts that count, with the times at which they were issued.
+	issued map[work.RunKey]time.Time
+	limit  float64
+	// held means that the last planning pass ended at the limit.
+	held bool
+}
+
+func newPendingStarts() pendingStarts {
+	return pendingStarts{issued: map[work.RunKey]time.Time{}, limit: minPendingStarts}
+}
+
+// prune removes the starts that no longer count.
+func (p *pendingStarts) prune(now time.Time) {
+	for key, at := range p.issued {
+		if now.Sub(at) >= pendingStartTimeout {
+			delete(p.issued, key)
+		}
+	}
+}
+
+// allow reports whether the outstanding replies allow another start.
+func (p *pendingStarts) allow() bool { return len(p.issued) < int(p.limit) }
+
+// handleOutcome records the outcome of a start that was sent at a time. Without a reply it says nothing of this process.
+func (p *pendingStarts) handleOutcome(key work.RunKey, result Outcome, sent, now time.Time) {
+	delete(p.issued, key)
+	switch {
+	case result == NoReply || result == NotSent:
+	case now.Sub(sent) < lateReply:
+		if p.held {
+			p.limit = min(p.limit+startLimitGain, maxPendingStarts)
+		}
+	default:
+		p.limit = max(p.limit-startLimitLoss, minPendingStarts)
+	}
+}
+
+// AwaitsStartReplies reports whether the last planning pass ended at the bound on outstanding starts, so that a reply
+// calls for another pass.
+func (sc *Scheduler) AwaitsStartReplies() bool { return sc.pending.held }
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -17,11 +17,13 @@
 	sc.evict(now)
 	commands := sc.stopCommands(now)
 	commands = append(commands, sc.throttleCommands(now)...)
+	sc.pending.prune(now)
 	for _, p := range sc.pools {
-		if len(p.ready) > 0 {
+		if len(p.ready) > 0 && sc.pending.allow() {
 			commands = append(commands, sc.placeWaiting(p, now)...)
 		}
 	}
+	sc.pending.held = !sc.pending.allow()
 	return commands
 }
 
@@ -47,6 +49,9 @@
 	var commands []Command
 	for _, e := range sc.rankSteps(p, waiting, now) {
 		s, eligible := e.state, workers.workers
+		if !sc.pending.allow() {
+			break
+		}
 		if !sc.mayPlace(s, workers, cordoned) {
 			continue
 		}
@@ -352,7 +357,7 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
-		if !sc.withinCap(s, 1) {
+		if !sc.withinCap(s, 1) || !sc.pending.allow() {
 			break
 		}
 		w := sc.chooseWorker(s, workers)
@@ -427,6 +432,7 @@
 		need: s.spec.Reserved(), charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100, speed: 100,
 	}
 	t.runs = append(t.runs, r)
+	sc.pending.issued[r.key] = now
 	s.waiting--
 	w.runs[r.key] = r
 	w.reserved = w.reserved.Plus(r.need)
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -97,8 +97,9 @@
 	}
 	s.mu.Lock()
 	s.scheduler.HandleOutcome(c, result, sent)
+	held := s.scheduler.AwaitsStartReplies()
 	s.mu.Unlock()
-	if result != engine.Applied {
+	if result != engine.Applied || held {
 		s.wakeLoops()
 	}
 }
