leader: Planning pauses for a multiple of the time it took

A planning pass ran every 4 ms whatever it had taken, so that under a backlog a leader with a part of a core spent most of it on planning, and read the replies of workers after their time-outs. It now waits for four times what the pass took, at least 4 ms and at most 100 ms: planning takes at most a fifth of the time, and a process that was suspended during a pass plans again soon.

--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -21,15 +21,22 @@
 		case <-ctx.Done():
 			return
 		}
+		began := time.Now()
 		s.plan(ctx)
 		select {
-		case <-time.After(minPlanInterval):
+		case <-time.After(planPause(time.Since(began))):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// planPause returns the time to wait after a planning pass that took a time, so that planning leaves most of a busy
+// process's time to the replies of workers.
+func planPause(took time.Duration) time.Duration {
+	return min(max(planPauseFactor*took, minPlanInterval), maxPlanPause)
+}
+
 func (s *session) plan(ctx context.Context) {
 	if !s.hasAuthority() {
 		return
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -20,6 +20,11 @@
 	minCommitInterval = 12 * time.Millisecond
 	// minPlanInterval is the least time between two planning passes, so that one covers many events.
 	minPlanInterval = 4 * time.Millisecond
+	// planPauseFactor is the least ratio of the time between two planning passes to the time that the first one took, up
+	// to maxPlanPause.
+	planPauseFactor = 4
+	// maxPlanPause bounds the effect of a pass during which the process was suspended.
+	maxPlanPause = 100 * time.Millisecond
 	// tickInterval is the time between two checks for timers of the scheduler that are due.
 	tickInterval = 100 * time.Millisecond
 	// authorityMaxAge is how long a transaction confirms the right to send commands; after that a quorum must.
