leader: Log when the authority to send commands ends and returns

The logs of a former leader that started tasks a second time show when the store last confirmed it, but not whether a quorum of heartbeats gave it the authority to send commands, which two of the hypotheses of the postmortem differ in.

--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -161,10 +161,17 @@
 }
 
 func (s *session) tickLoop(ctx context.Context) {
+	had := true
 	pace.After(ctx, tickInterval, func(context.Context) {
 		s.mu.Lock()
 		s.scheduler.Tick()
 		s.mu.Unlock()
+		if has := s.hasAuthority(); has != had {
+			had = has
+			s.log.Info("leader: authority to send commands changed", zap.Bool("authority", has),
+				zap.Duration("age", s.leadership.SinceConfirmed()), zap.Bool("quorum", s.service.hasQuorum()),
+				zap.Bool("lost", s.leadership.Lost()))
+		}
 		s.wakeLoops()
 	})
 }
