leader: Count heartbeats as of a time on the leader's clock

Callers saw tasks run twice at the same time (TWICE): after an availability zone had been cut off for 5.2 s, the former leader in it started 7 tasks again that the new leader kept running elsewhere.

HandleHeartbeat stamped heartbeats with the time of their arrival. The leases that it had sent to the workers beyond the cut had expired by its reckoning, so it started their tasks on workers of its zone, which the new leader hadn't reached yet; 5 ms later workers beyond the cut refused its commands.

Replies to heartbeats carry a stamp of the leader's clock, and the peer's next heartbeat echoes the last one. The peer read it before it looked up the highest term that it knows, so the heartbeat shows what the peer knew after the time of the stamp, however long the network took. Heartbeats without an echo, as of earlier builds, don't count towards the quorum. Peers that echo no recent stamp get announcements, as those without heartbeats did.

The test separates a leader with half of the workers from the store and the other instance and delivers the heartbeats of that time when they rejoin. The heartbeats of the test go to the leader that their sender knows, as those of the router do; before, they went to every instance.

--- a/internal/serve/leader/handover_test.go
+++ b/internal/serve/leader/handover_test.go
@@ -13,14 +13,24 @@
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
-// sendHeartbeats sends the heartbeats of every instance to the others until the context ends.
+// sendHeartbeats sends the heartbeats of every instance to the leader that it knows until the context ends. While the
+// instances are separated it holds them up, and their replies are lost.
 func (c *cluster) sendHeartbeats(ctx context.Context) {
+	type path struct{ from, to *entry }
+	replies := map[path]peer.HeartbeatReply{}
 	for ctx.Err() == nil {
 		for _, from := range c.entries {
+			r, ok := from.elector.Load().Leader()
 			for _, to := range c.entries {
-				if from != to {
-					to.service.Load().HandleHeartbeat(peer.HeartbeatRequest{From: from.name, Address: from.name,
-						ElectionDelay: from.electionDelay()})
+				if from == to || !ok || r.Name != to.name {
+					continue
+				}
+				p := path{from, to}
+				q := peer.HeartbeatRequest{From: from.name, Address: from.name, Term: r.Term,
+					ElectionDelay: from.electionDelay(), Echo: replies[p].Stamp, EchoTerm: replies[p].Term}
+				send := func() peer.HeartbeatReply { return to.service.Load().HandleHeartbeat(q) }
+				if !c.holdUp(func() { send() }) {
+					replies[p] = send()
 				}
 			}
 		}
--- a/internal/serve/leader/history_test.go
+++ b/internal/serve/leader/history_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -29,6 +30,8 @@
 	elector atomic.Pointer[elect.Elector]
 	stop    context.CancelFunc
 	done    chan struct{}
+	// workers are the cluster's as this instance reaches them.
+	workers *linkedWorkers
 	// slow means that the process runs slowly, which its election delay shows.
 	slow atomic.Bool
 }
@@ -53,6 +56,10 @@
 	processes   int
 	// workers are the fakeWorkers as the leaders call them.
 	workers *recordingWorkers
+	// separated means that the instances don't reach each other; heldUp are the messages of that time.
+	mu        sync.Mutex
+	separated bool
+	heldUp    []func()
 	// adjust changes the options of each new leader service.
 	adjust func(*leader.Options)
 }
@@ -82,7 +89,8 @@
 		Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}},
 		Customers: map[string]work.Customer{"c": {Name: "c", Cap: work.Need{CPU: 12000}}}}))
 	for i := range 2 {
-		c.entries = append(c.entries, &entry{name: fmt.Sprintf("e%d", i), link: c.store.Link()})
+		c.entries = append(c.entries, &entry{name: fmt.Sprintf("e%d", i), link: c.store.Link(),
+			workers: &linkedWorkers{Workers: c.workers, cut: map[work.WorkerID]bool{}}})
 		c.start(c.entries[i])
 	}
 	return c
@@ -92,7 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop, e.done = cancel, make(chan struct{})
 	c.processes++
-	o := leader.Options{Store: e.link, Workers: c.workers, Fleet: c.fakeWorkers, Rules: c.rules,
+	o := leader.Options{Store: e.link, Workers: e.workers, Fleet: c.fakeWorkers, Rules: c.rules,
 		Scheduler: engine.DefaultOptions(), ElectionDelay: e.electionDelay, Log: zap.NewNop(),
 		OfferLeadership: func(_ context.Context, address string, delay time.Duration) (bool, error) {
 			return c.offer(e.name, address, delay), nil
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -73,12 +73,8 @@
 	leadership *elect.Leadership
 	// heartbeats holds the last heartbeat of each peer, by the peer's name.
 	heartbeats map[string]heartbeat
-}
-
-type heartbeat struct {
-	at            time.Time
-	address       string
-	electionDelay time.Duration
+	// epoch is the origin of the stamps in replies to heartbeats.
+	epoch time.Time
 }
 
 // New returns a Service that doesn't lead yet.
@@ -86,7 +82,7 @@
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
-	return &Service{Options: o, heartbeats: map[string]heartbeat{}}
+	return &Service{Options: o, heartbeats: map[string]heartbeat{}, epoch: time.Now()}
 }
 
 // ErrNotLeader means that this process is not the leader and has done nothing.
@@ -208,45 +204,6 @@
 	return peer.WaitingReply{Result: peer.Accepted, Count: ss.scheduler.Waiting(queue)}
 }
 
-const (
-	// quorumMaxAge is how long a peer's heartbeat counts towards the quorum that confirms leadership.
-	quorumMaxAge = 2 * time.Second
-	// memberMaxAge is how long a peer counts as a member after its last heartbeat.
-	memberMaxAge = time.Minute
-)
-
-// HandleHeartbeat records the heartbeat of a peer and answers whether this process is the leader; a later term in the
-// heartbeat ends its leadership.
-func (s *Service) HandleHeartbeat(q peer.HeartbeatRequest) peer.HeartbeatReply {
-	s.mu.Lock()
-	s.heartbeats[q.From] = heartbeat{time.Now(), q.Address, q.ElectionDelay}
-	l := s.leadership
-	s.mu.Unlock()
-	if l == nil {
-		return peer.HeartbeatReply{}
-	}
-	if q.Term > l.Term() {
-		s.Log.Warn("leader: heartbeat with a later term received, leadership is lost", zap.Int64("term", q.Term),
-			zap.String("peer", q.From))
-		l.MarkLost()
-		return peer.HeartbeatReply{}
-	}
-	return peer.HeartbeatReply{IsLeader: !l.Lost(), Term: l.Term(), SinceConfirmed: l.SinceConfirmed(),
-		StoreRefusedFor: l.StoreRefusedFor()}
-}
-
-// heartbeatMaxAge is how long a heartbeat proves that a peer knows the leader: heartbeats come every 400 ms, and one
-// may be lost.
-const heartbeatMaxAge = 1200 * time.Millisecond
-
-// HeardRecently reports whether the last heartbeat of a peer is recent enough to prove that it knows the leader.
-func (s *Service) HeardRecently(name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h, ok := s.heartbeats[name]
-	return ok && time.Since(h.at) <= heartbeatMaxAge
-}
-
 // sampleSize is the number of values in the sample of a histogram.
 const sampleSize = 1024
 
@@ -258,27 +215,6 @@
 	h.(metrics.Histogram).Update(time.Since(since).Milliseconds())
 }
 
-// hasQuorum reports whether a majority of the members, this process included, confirms its leadership by recent
-// heartbeats. Without peers it reports false, because a process that is cut off would confirm itself.
-func (s *Service) hasQuorum() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	members, recent := 1, 1
-	for name, h := range s.heartbeats {
-		switch age := now.Sub(h.at); {
-		case age > memberMaxAge:
-			delete(s.heartbeats, name)
-		case age <= quorumMaxAge:
-			members++
-			recent++
-		default:
-			members++
-		}
-	}
-	return members > 1 && 2*recent > members
-}
-
 // StepDown hands over or releases leadership if this process leads and has loaded the stored state.
 func (s *Service) StepDown(ctx context.Context) {
 	if ss := s.current(); ss != nil {
--- /dev/null
+++ b/internal/serve/leader/partition_test.go
@@ -0,0 +1,158 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
+)
+
+// linkedWorkers are workers as one instance reaches them.
+type linkedWorkers struct {
+	leader.Workers
+	mu  sync.Mutex
+	cut map[work.WorkerID]bool
+}
+
+// unreachableTimeout is how long a call to a worker behind a cut takes.
+const unreachableTimeout = 400 * time.Millisecond
+
+func (w *linkedWorkers) setCut(id work.WorkerID, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[id] = cut
+}
+
+// reaches reports whether a worker is reachable, after the time that a call takes if it is not.
+func (w *linkedWorkers) reaches(ctx context.Context, id work.WorkerID) bool {
+	w.mu.Lock()
+	cut := w.cut[id]
+	w.mu.Unlock()
+	if cut {
+		select {
+		case <-time.After(unreachableTimeout):
+		case <-ctx.Done():
+		}
+	}
+	return !cut
+}
+
+// Execute implements leader.Workers.
+func (w *linkedWorkers) Execute(ctx context.Context, c engine.Command, fence int64) engine.Outcome {
+	var id work.WorkerID
+	switch c := c.(type) {
+	case engine.Start:
+		id = c.Worker
+	case engine.Stop:
+		id = c.Worker
+	case engine.Throttle:
+		id = c.Worker
+	}
+	if !w.reaches(ctx, id) {
+		return engine.NoReply
+	}
+	return w.Workers.Execute(ctx, c, fence)
+}
+
+// Renew implements leader.Workers.
+func (w *linkedWorkers) Renew(ctx context.Context, r engine.Renewal, fence int64) (work.RenewalReply, engine.Outcome) {
+	if !w.reaches(ctx, r.Worker) {
+		return work.RenewalReply{}, engine.NoReply
+	}
+	return w.Workers.Renew(ctx, r, fence)
+}
+
+// holdUp keeps a message until the instances reach each other again, and reports whether it did.
+func (c *cluster) holdUp(deliver func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.separated {
+		c.heldUp = append(c.heldUp, deliver)
+	}
+	return c.separated
+}
+
+// setSeparated separates the instances or delivers the messages that were held up meanwhile.
+func (c *cluster) setSeparated(separated bool) {
+	c.mu.Lock()
+	heldUp := c.heldUp
+	c.separated, c.heldUp = separated, nil
+	c.mu.Unlock()
+	for _, deliver := range heldUp {
+		deliver()
+	}
+}
+
+// separate cuts an instance with half of the workers off from the store, the other instances and the other workers.
+func (c *cluster) separate(e *entry) {
+	c.setSeparated(true)
+	e.link.SetFaults(fakes.Faults{Down: true})
+	for i := range 4 {
+		for _, other := range c.entries {
+			if (other == e) == (i < 2) {
+				other.workers.setCut(work.WorkerID(fmt.Sprintf("w%d", i)), true)
+			}
+		}
+	}
+}
+
+// rejoin ends the cut of an instance: the heartbeats that were held up arrive first, the other connections come back
+// after random times.
+func (c *cluster) rejoin(r *rand.Rand, e *entry) {
+	pause := func() { time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond) }
+	c.setSeparated(false)
+	for i := range 4 {
+		pause()
+		for _, other := range c.entries {
+			other.workers.setCut(work.WorkerID(fmt.Sprintf("w%d", i)), false)
+		}
+	}
+	pause()
+	e.link.SetFaults(fakes.Faults{})
+}
+
+// longJob returns a job of many short steps, one after the other.
+func longJob(i int) work.Job {
+	steps := []work.Step{{Count: 1, Need: work.Need{CPU: 1500}}}
+	for s := range 39 {
+		steps = append(steps, work.Step{Count: 1, Need: work.Need{CPU: 1500}, After: []int{s}})
+	}
+	return work.Job{ID: work.JobID(fmt.Sprintf("%016x", i)), Queue: "q", Customer: "c",
+		Accepted: time.Now().UnixMilli(), Steps: steps}
+}
+
+// Guards against a former leader that starts tasks again after a partition, while the new leader has them run
+// elsewhere: heartbeats that the network held up must not give it back the authority to send commands.
+func TestHeldUpHeartbeats(t *testing.T) {
+	for seed := range uint64(historyCount) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			testCluster(t, func(c *cluster) {
+				r := rand.New(rand.NewPCG(seed, 11))
+				for i := range 8 {
+					c.submit(context.Background(), longJob(i))
+				}
+				for range 3 {
+					former := c.leader()
+					c.separate(former)
+					time.Sleep(time.Duration(6000+r.IntN(4000)) * time.Millisecond)
+					if l := c.leader(); l == nil {
+						t.Error("nobody leads on the other side: the test shows nothing")
+					}
+					c.rejoin(r, former)
+					time.Sleep(5 * time.Second)
+				}
+				time.Sleep(time.Minute)
+				for _, v := range c.fakeWorkers.Check() {
+					t.Error(v)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/serve/leader/quorum.go
@@ -0,0 +1,96 @@
+package leader
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+const (
+	// quorumMaxAge is how long a peer counts towards the quorum after the last time at which it is known to have known
+	// of no later term.
+	quorumMaxAge = 2 * time.Second
+	// memberMaxAge is how long a peer counts as a member after its last heartbeat.
+	memberMaxAge = time.Minute
+	// heartbeatMaxAge is how long what a heartbeat tells of a peer counts: heartbeats come every 400 ms, and one may be
+	// lost.
+	heartbeatMaxAge = 1200 * time.Millisecond
+	// echoMaxAge is how long an echoed stamp proves that a peer knows the leader; it is the older by the time between two
+	// heartbeats.
+	echoMaxAge = 1600 * time.Millisecond
+)
+
+// heartbeat is what is known of a peer from its heartbeats.
+type heartbeat struct {
+	// at is when the last heartbeat arrived, which may be long after it was sent.
+	at            time.Time
+	address       string
+	electionDelay time.Duration
+	// confirmedAt is the latest time after which the peer is known to have known of no later term than confirmedTerm,
+	// a term of this process: the stamp that it echoed.
+	confirmedAt   time.Time
+	confirmedTerm int64
+}
+
+// HandleHeartbeat records the heartbeat of a peer and answers whether this process is the leader; a later term in the
+// heartbeat ends its leadership.
+func (s *Service) HandleHeartbeat(q peer.HeartbeatRequest) peer.HeartbeatReply {
+	now := time.Now()
+	s.mu.Lock()
+	l := s.leadership
+	h := s.heartbeats[q.From]
+	h.at, h.address, h.electionDelay = now, q.Address, q.ElectionDelay
+	if at := s.epoch.Add(q.Echo); l != nil && q.Echo > 0 && q.EchoTerm == l.Term() && q.Term <= l.Term() &&
+		at.After(h.confirmedAt) && !at.After(now) {
+		h.confirmedAt, h.confirmedTerm = at, q.EchoTerm
+	}
+	s.heartbeats[q.From] = h
+	s.mu.Unlock()
+	if l == nil {
+		return peer.HeartbeatReply{}
+	}
+	if q.Term > l.Term() {
+		s.Log.Warn("leader: heartbeat with a later term received, leadership is lost", zap.Int64("term", q.Term),
+			zap.String("peer", q.From))
+		l.MarkLost()
+		return peer.HeartbeatReply{}
+	}
+	return peer.HeartbeatReply{IsLeader: !l.Lost(), Term: l.Term(), SinceConfirmed: l.SinceConfirmed(),
+		StoreRefusedFor: l.StoreRefusedFor(), Stamp: now.Sub(s.epoch)}
+}
+
+// HeardRecently reports whether the heartbeats of a peer prove that it knew the leader recently.
+func (s *Service) HeardRecently(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmedSince(name, time.Now().Add(-echoMaxAge))
+}
+
+// confirmedSince reports whether a peer is known to have known of no later term than that of this process after a point
+// in time. The time at which a heartbeat arrives does not show that, because the network may have held it up.
+func (s *Service) confirmedSince(name string, t time.Time) bool {
+	h, ok := s.heartbeats[name]
+	return ok && s.leadership != nil && h.confirmedTerm == s.leadership.Term() && !h.confirmedAt.Before(t)
+}
+
+// hasQuorum reports whether a majority of the members, this process included, is known to have known of no later term
+// within quorumMaxAge. Without peers it reports false, because a process that is cut off would confirm itself.
+func (s *Service) hasQuorum() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	members, confirming := 1, 1
+	for name, h := range s.heartbeats {
+		if now.Sub(h.at) > memberMaxAge {
+			delete(s.heartbeats, name)
+			continue
+		}
+		members++
+		if s.confirmedSince(name, now.Add(-quorumMaxAge)) {
+			confirming++
+		}
+	}
+	return members > 1 && 2*confirming > members
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -151,13 +151,16 @@
 func (r *Router) Run(ctx context.Context) { pace.Every(ctx, heartbeatInterval, nil, r.sendHeartbeat) }
 
 func (r *Router) sendHeartbeat(ctx context.Context) {
+	// The echo states that no later term was known after its time, so it must be read before the known term.
+	echo, echoTerm := r.lastStamp()
 	leader, ok := r.tracker.Leader()
 	if !ok || leader.Released || r.local.IsLeader() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	q := peer.HeartbeatRequest{From: r.name, Address: r.address, Term: leader.Term}
+	q := peer.HeartbeatRequest{From: r.name, Address: r.address, Term: leader.Term, Echo: echo,
+		EchoTerm: echoTerm}
 	if r.electionDelay != nil {
 		q.ElectionDelay = r.electionDelay()
 	}
@@ -165,6 +168,13 @@
 	r.handleHeartbeat(leader, reply, err)
 }
 
+// lastStamp returns the stamp of the last reply to a heartbeat and its term, or 0 without one.
+func (r *Router) lastStamp() (time.Duration, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReply.Stamp, r.lastReply.Term
+}
+
 // handleHeartbeat records the reply to a heartbeat and wakes the tracker unless it shows that the store confirms the
 // leader.
 func (r *Router) handleHeartbeat(leader elect.LeaderRecord, reply peer.HeartbeatReply, err error) {
--- a/internal/serve/router/router_test.go
+++ b/internal/serve/router/router_test.go
@@ -123,3 +123,24 @@
 		})
 	}
 }
+
+// Guards against heartbeats that echo another stamp than that of the last reply, so that the leader takes them as proof
+// of what their sender knew at another time.
+func TestHeartbeatEcho(t *testing.T) {
+	var tracker fakeTracker
+	r := New("e1", nil, &fakeLeader{}, nil, zap.NewNop())
+	r.SetLeaderTracker(&tracker)
+	check := func(stamp time.Duration, term int64) {
+		t.Helper()
+		if s, n := r.lastStamp(); s != stamp || n != term {
+			t.Errorf("stamp %v of term %d, want %v of term %d", s, n, stamp, term)
+		}
+	}
+	check(0, 0)
+	r.handleHeartbeat(elect.LeaderRecord{Term: 3}, peer.HeartbeatReply{IsLeader: true, Term: 3, Stamp: time.Second}, nil)
+	check(time.Second, 3)
+	r.handleHeartbeat(elect.LeaderRecord{Term: 3}, peer.HeartbeatReply{}, context.DeadlineExceeded)
+	check(time.Second, 3)
+	r.handleHeartbeat(elect.LeaderRecord{Term: 3}, peer.HeartbeatReply{}, nil)
+	check(0, 0)
+}
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -70,22 +70,27 @@
 
 // HeartbeatRequest tells the leader that a peer reaches it, the highest term that the peer knows, and the delay with
 // which the peer stands for election; an instance that is less suitable as leader has a longer one. Address is where
-// the leader reaches the peer.
+// the leader reaches the peer. Echo and EchoTerm are the Stamp and Term of the last reply that the peer received before
+// it looked up the highest term; 0 without one.
 type HeartbeatRequest struct {
 	From          string        `json:"from"`
 	Address       string        `json:"address,omitempty"`
 	Term          int64         `json:"term"`
 	ElectionDelay time.Duration `json:"delay,omitempty"`
+	Echo          time.Duration `json:"echo,omitempty"`
+	EchoTerm      int64         `json:"echoTerm,omitempty"`
 }
 
 // HeartbeatReply states whether the called instance is the leader, the time since the store last confirmed its
-// leadership, and for how long the store has refused it; 0 means that it does not refuse. If IsLeader is
-// false, the other fields may all be 0.
+// leadership, and for how long the store has refused it; 0 means that it does not refuse. Stamp is the time of the
+// reply on a clock of the leader's process, which only the leader of the term can interpret. If IsLeader is false, the
+// other fields may all be 0.
 type HeartbeatReply struct {
 	IsLeader        bool          `json:"holds"`
 	Term            int64         `json:"term"`
 	SinceConfirmed  time.Duration `json:"age"`
 	StoreRefusedFor time.Duration `json:"refused,omitempty"`
+	Stamp           time.Duration `json:"stamp,omitempty"`
 }
 
 // Validate returns an error for an invalid message.
@@ -158,16 +163,17 @@
 
 // Validate returns an error for an invalid message.
 func (q HeartbeatRequest) Validate() error {
-	if q.From == "" || q.Term < 0 || q.ElectionDelay < 0 {
-		return errors.Join(ErrInvalidMessage, errors.New("heartbeat without a sender or with a negative term or delay"))
+	if q.From == "" || q.Term < 0 || q.ElectionDelay < 0 || q.Echo < 0 || q.EchoTerm < 0 {
+		return errors.Join(ErrInvalidMessage,
+			errors.New("heartbeat without a sender or with a negative term, delay or echo"))
 	}
 	return nil
 }
 
 // Validate returns an error for an invalid message.
 func (a HeartbeatReply) Validate() error {
-	if a.Term < 0 || a.SinceConfirmed < 0 {
-		return errors.Join(ErrInvalidMessage, errors.New("heartbeat reply with a negative term or age"))
+	if a.Term < 0 || a.SinceConfirmed < 0 || a.Stamp < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("heartbeat reply with a negative term, age or stamp"))
 	}
 	return nil
 }
