leader: Return the authority to send commands only through the store

A leader whose authority had ended regained it as soon as a majority of the members confirmed it again. Meanwhile a later leader may have acted whose term that majority doesn't know: the members of the former leader's side of a partition, or those that the store doesn't serve. After a minute of a partition the members beyond it no longer count, so that even the smaller side became a majority. What the former leader knows of runs and leases dates from before the gap.

The authority ends for good when neither the store nor a quorum extends it in time, until a transaction succeeds, which shows that no later leader has acted between.

While the store is away for all and a quorum goes on without a gap, the leader still starts tasks (TestQuorumKeepsAuthority).

--- a/internal/serve/leader/partition_test.go
+++ b/internal/serve/leader/partition_test.go
@@ -156,3 +156,34 @@
 		})
 	}
 }
+
+// Guards against a former leader that regains the authority to send commands from peers that don't know the later leader
+// either, although that may have acted since its authority ended.
+func TestAuthorityReturnsThroughStore(t *testing.T) {
+	testCluster(t, func(c *cluster) {
+		for i := range 4 {
+			c.submit(context.Background(), longJob(i))
+		}
+		for _, e := range c.entries {
+			e.link.SetFaults(fakes.Faults{Down: true})
+		}
+		c.setSeparated(true)
+		time.Sleep(4 * time.Second)
+		c.setSeparated(false)
+		rejoined := time.Now()
+		time.Sleep(10 * time.Second)
+		if !c.leader().service.Load().HasQuorum() {
+			t.Error("no quorum after the instances have rejoined: the test shows nothing")
+		}
+		if n := c.workers.startsAfter(rejoined); n > 0 {
+			t.Errorf("%d start commands without authority", n)
+		}
+		for _, e := range c.entries {
+			e.link.SetFaults(fakes.Faults{})
+		}
+		time.Sleep(10 * time.Second)
+		if c.workers.startsAfter(rejoined) == 0 {
+			t.Error("no start command after the store has confirmed leadership")
+		}
+	})
+}
--- a/internal/serve/leader/quorum.go
+++ b/internal/serve/leader/quorum.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,21 +77,30 @@
 }
 
 // hasQuorum reports whether a majority of the members, this process included, is known to have known of no later term
-// within quorumMaxAge. Without peers it reports false, because a process that is cut off would confirm itself.
-func (s *Service) hasQuorum() bool {
+// within quorumMaxAge.
+func (s *Service) hasQuorum() bool { return time.Since(s.quorumAt()) <= quorumMaxAge }
+
+// quorumAt returns the latest time after which a majority of the members, this process included, is known to have known
+// of no later term. Without peers it returns the zero time, because a process that is cut off would confirm itself.
+func (s *Service) quorumAt() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	members, confirming := 1, 1
+	var times []time.Time
 	for name, h := range s.heartbeats {
-		if now.Sub(h.at) > memberMaxAge {
+		switch {
+		case now.Sub(h.at) > memberMaxAge:
 			delete(s.heartbeats, name)
-			continue
-		}
-		members++
-		if s.confirmedSince(name, now.Add(-quorumMaxAge)) {
-			confirming++
+		case s.confirmedSince(name, time.Time{}):
+			times = append(times, h.confirmedAt)
+		default:
+			times = append(times, time.Time{})
 		}
 	}
-	return members > 1 && 2*confirming > members
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	// Of the members, which are one more than the peers, this process is one that confirms.
+	return times[(len(times)+1)/2-1]
 }
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -58,6 +58,10 @@
 	// transactions is used by the commit loop only.
 	transactions txLog
 
+	authorityMu sync.Mutex
+	// authorityUntil is when the authority to send commands ends unless it is confirmed again before.
+	authorityUntil time.Time
+
 	planWake, commitWake chan struct{}
 	// done is closed when the session ends.
 	done chan struct{}
@@ -103,10 +107,25 @@
 }
 
 // hasAuthority reports whether this process may still send commands: leadership is not known to be lost, and the store
-// has confirmed it within authorityMaxAge or a majority of the members confirms it. A later leader waits for the same
-// time before it treats runs that it can't observe as ended.
+// has confirmed it within authorityMaxAge or a quorum of the members has ever since. Once authority has ended, only the
+// store can confirm that no later leader has acted meanwhile.
 func (s *session) hasAuthority() bool {
-	return !s.leadership.Lost() && (s.leadership.SinceConfirmed() < authorityMaxAge || s.service.hasQuorum())
+	if s.leadership.Lost() {
+		return false
+	}
+	s.authorityMu.Lock()
+	defer s.authorityMu.Unlock()
+	now := time.Now()
+	extend := func(until time.Time) {
+		if until.After(s.authorityUntil) {
+			s.authorityUntil = until
+		}
+	}
+	extend(now.Add(authorityMaxAge - s.leadership.SinceConfirmed()))
+	if s.authorityUntil.After(now) {
+		extend(s.service.quorumAt().Add(quorumMaxAge))
+	}
+	return s.authorityUntil.After(now)
 }
 
 func (s *session) watchRules(ctx context.Context) {
