sched/engine: Let leases expire only up to the last confirmation of leadership

A leader that is cut off has authority for up to 2 s after a later one was elected. If in that time the leases that it has sent to an unresponsive worker expire, it starts the worker's tasks elsewhere, although the later leader reaches the worker, extends its leases or handles its ends. No fencing token stops a start on a worker that the later leader doesn't reach.

The expiry of a lease that this leader has sent ends the runs only if nobody has extended the lease. A transaction confirmed after the expiry shows that no later leader had acted before it. Until then the runs count as possible. While the store answers, that is half a second at most; while it is away, tasks of workers that don't reply wait for it or for the list of machines. The same holds for the leases of former leaders after a takeover.

--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -70,6 +70,8 @@
 	inherited map[work.WorkerID]*worker
 	// inheritedUntil is when every lease that a former leader sent has certainly expired.
 	inheritedUntil time.Time
+	// confirmedAt is the latest time until which no later leader is known to have existed.
+	confirmedAt time.Time
 	// dirtyWorkers are the workers whose record in the store is to be written or deleted.
 	dirtyWorkers map[work.WorkerID]bool
 	// stopping are the runs that are to be stopped.
@@ -124,6 +126,16 @@
 // Evacuate sets the availability zones that are out of service, where no task starts.
 func (sc *Scheduler) Evacuate(zones map[string]bool) { sc.evacuated = zones }
 
+// ConfirmLeadership records that there was no later leader before a point in time. Without a call, leases expire
+// unconditionally.
+func (sc *Scheduler) ConfirmLeadership(at time.Time) { sc.confirmedAt = at }
+
+// leasesExpired reports whether leases that expired at a point in time, by what this leader has sent, have ended all
+// runs: a later leader may have extended them unless leadership was confirmed after that.
+func (sc *Scheduler) leasesExpired(at, now time.Time) bool {
+	return now.After(at) && (sc.confirmedAt.IsZero() || sc.confirmedAt.After(at))
+}
+
 func (sc *Scheduler) pool(name string) *pool {
 	p, ok := sc.pools[name]
 	if !ok {
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -60,7 +60,8 @@
 // run executes one command of a script. "orders" lists the commands that are due and, with "carried", reports them all
 // as applied, "settle" reports the outcome of one; "next" prepares a renewal, "look" and "unanswered" deliver a reply
 // to it or none, "advise" replies to the last ticket request; "ready" lets every worker report empty run lists and
-// commits a batch; "hold" cordons a worker, "close" closes it, "out" evacuates a zone.
+// commits a batch; "confirmed" confirms leadership as of now, and until then leases expire unconditionally; "hold" cordons
+// a worker, "close" closes it, "out" evacuates a zone.
 func (s *script) run(d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "config":
@@ -124,6 +125,8 @@
 		s.scheduler.Evacuate(map[string]bool{d.CmdArgs[0].Key: true})
 	case "ended":
 		s.scheduler.MarkWorkerEnded(work.WorkerID(d.CmdArgs[0].Key))
+	case "confirmed":
+		s.scheduler.ConfirmLeadership(time.Now())
 	case "loads":
 		return s.demands()
 	case "advise":
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -335,11 +335,11 @@
 	}
 }
 
-// leasesExpired reports whether the leases of an unresponsive worker have all expired. Its runs may have ended before
-// that, so while it has any, a patient renewal must have failed too: replies that this process did not read in time may
-// have said so.
-func (w *worker) leasesExpired(now time.Time) bool {
-	return !w.unresponsiveSince.IsZero() && w.inUse && now.After(w.leaseExpiry()) && (w.silent || len(w.runs) == 0)
+// isSilent reports whether the runs of an unresponsive worker may be given up once its leases have expired. They may have
+// ended before that, so while it has any, a patient renewal must have failed too: replies that this process did not read
+// in time may have said so.
+func (w *worker) isSilent() bool {
+	return !w.unresponsiveSince.IsZero() && w.inUse && (w.silent || len(w.runs) == 0)
 }
 
 // expireLeases releases the runs of an unresponsive worker whose leases have all expired. The worker gets no tasks
@@ -369,7 +369,7 @@
 	now := time.Now()
 	sc.logStalls(now)
 	for id, w := range sc.workers {
-		if sc.inherited[id] == nil && w.leasesExpired(now) {
+		if sc.inherited[id] == nil && w.isSilent() && sc.leasesExpired(w.leaseExpiry(), now) {
 			sc.expireLeases(w, now)
 		}
 		if !w.listed && len(w.runs) == 0 && !w.inUse && (w.ended || !w.unresponsiveSince.IsZero()) &&
@@ -377,7 +377,7 @@
 			delete(sc.workers, id)
 		}
 	}
-	if len(sc.inherited) > 0 && now.After(sc.inheritedUntil) {
+	if len(sc.inherited) > 0 && sc.leasesExpired(sc.inheritedUntil, now) {
 		sc.log.Info("engine: leases of former leaders have expired", zap.Int("workers", len(sc.inherited)))
 		for _, w := range sc.inherited {
 			sc.clearInUse(w)
--- a/internal/serve/leader/partition_test.go
+++ b/internal/serve/leader/partition_test.go
@@ -93,12 +93,23 @@
 // separate cuts an instance with half of the workers off from the store, the other instances and the other workers.
 func (c *cluster) separate(e *entry) {
 	c.setSeparated(true)
+	c.cutOff(e, 0)
+}
+
+// cutOff does the same, but the instances still reach each other. The instance keeps the two workers from the first one
+// on.
+func (c *cluster) cutOff(e *entry, first int) {
 	e.link.SetFaults(fakes.Faults{Down: true})
+	for _, other := range c.entries {
+		c.cutWorkers(other, first, other != e)
+	}
+}
+
+// cutWorkers cuts the two workers from the first one on off from an instance, or the other two.
+func (c *cluster) cutWorkers(e *entry, first int, these bool) {
 	for i := range 4 {
-		for _, other := range c.entries {
-			if (other == e) == (i < 2) {
-				other.workers.setCut(work.WorkerID(fmt.Sprintf("w%d", i)), true)
-			}
+		if (i == first || i == first+1) == these {
+			e.workers.setCut(work.WorkerID(fmt.Sprintf("w%d", i)), true)
 		}
 	}
 }
@@ -187,3 +198,35 @@
 		}
 	})
 }
+
+// Guards against a former leader that starts tasks again because the leases that it has sent to workers beyond a cut have
+// expired, while its authority lasts although a new leader has acted: that one extends those leases, or has handled the
+// ends of the runs.
+func TestLeaseExpiryDuringTakeover(t *testing.T) {
+	for seed := range uint64(historyCount) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			testCluster(t, func(c *cluster) {
+				r := rand.New(rand.NewPCG(seed, 13))
+				for i := range 5 {
+					c.submit(context.Background(), longJob(i))
+				}
+				for range 3 {
+					former := c.leader()
+					// Tasks are packed on few workers; those that the leader keeps must have free capacity.
+					first := 2 * r.IntN(2)
+					c.cutWorkers(former, first, false)
+					// The leases expire 6 s to 6.4 s after the cut, the leader is replaced about 2 s after the store refuses it.
+					time.Sleep(time.Duration(3500+r.IntN(1000)) * time.Millisecond)
+					c.cutOff(former, first)
+					time.Sleep(6 * time.Second)
+					c.rejoin(r, former)
+					time.Sleep(5 * time.Second)
+				}
+				time.Sleep(time.Minute)
+				for _, v := range c.fakeWorkers.Check() {
+					t.Error(v)
+				}
+			})
+		})
+	}
+}
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -183,6 +183,7 @@
 	had := true
 	pace.After(ctx, tickInterval, func(context.Context) {
 		s.mu.Lock()
+		s.scheduler.ConfirmLeadership(time.Now().Add(-s.leadership.SinceConfirmed()))
 		s.scheduler.Tick()
 		s.mu.Unlock()
 		if has := s.hasAuthority(); has != had {
