leader: Keep authority without the store only while all peers confirm it

A later leader needs the store and nobody's vote. If the store serves a minority only, that elects one, while a majority that the store doesn't serve and that the later leader doesn't reach went on to confirm the former one without a bound. The later leader takes the leases of the former one as expired 2.5 s of authority plus a lease after its takeover, and then starts the tasks of workers that it can't reach again, while the former leader still renews them.

The later leader is one of the peers of the former one. Without the store, the former one now keeps authority only while every peer heard from in the last minute confirms it. The last confirmation of the later leader dates from before its election, so authority ends within 2 s after that.

The cost: while the store is away for all and one instance is silent for more than 2 s, nothing starts until the store is back.

The note states the invariant, a test holds the constants to it.

--- a/internal/lab/fakes/workers.go
+++ b/internal/lab/fakes/workers.go
@@ -22,9 +22,11 @@
 	acknowledged map[work.TaskID]bool
 	failures     map[work.TaskID]int
 	started      map[work.TaskID]bool
-	Faults       WorkerFaults
-	Violations   []string
-	Started      int
+	// runTime is how long a run takes, 0 for a random time of at most 1.7 s.
+	runTime    time.Duration
+	Faults     WorkerFaults
+	Violations []string
+	Started    int
 }
 
 // WorkerFaults configures the injected faults of the workers.
@@ -132,6 +134,13 @@
 	w.byID[id].unreachable = cut
 }
 
+// SetRunTime sets how long runs that start from now on take.
+func (w *Workers) SetRunTime(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runTime = d
+}
+
 // Heal ends every fault and restarts the workers that are down.
 func (w *Workers) Heal() {
 	w.mu.Lock()
@@ -277,8 +286,11 @@
 	if fails {
 		w.failures[t]++
 	}
-	f.runs[t] = &fakeRun{number: c.Run.Number, fails: fails,
-		endsAt: time.Now().Add(200*time.Millisecond + time.Duration(w.random.Int64N(int64(1500*time.Millisecond))))}
+	runTime := 200*time.Millisecond + time.Duration(w.random.Int64N(int64(1500*time.Millisecond)))
+	if w.runTime > 0 {
+		runTime = w.runTime
+	}
+	f.runs[t] = &fakeRun{number: c.Run.Number, fails: fails, endsAt: time.Now().Add(runTime)}
 	return engine.Applied
 }
 
--- a/internal/serve/leader/export_test.go
+++ b/internal/serve/leader/export_test.go
@@ -1,4 +1,10 @@
 package leader
 
-// HasQuorum exposes hasQuorum to tests.
-func (s *Service) HasQuorum() bool { return s.hasQuorum() }
+// The bounds of authority, for tests.
+const (
+	AuthorityMaxAge = authorityMaxAge
+	PeersMaxAge     = peersMaxAge
+)
+
+// PeersConfirm exposes peersConfirm to tests.
+func (s *Service) PeersConfirm() bool { return s.peersConfirm() }
--- a/internal/serve/leader/handover_test.go
+++ b/internal/serve/leader/handover_test.go
@@ -29,7 +29,7 @@
 				q := peer.HeartbeatRequest{From: from.name, Address: from.name, Term: r.Term,
 					ElectionDelay: from.electionDelay(), Echo: replies[p].Stamp, EchoTerm: replies[p].Term}
 				send := func() peer.HeartbeatReply { return to.service.Load().HandleHeartbeat(q) }
-				if !c.holdUp(func() { send() }) {
+				if !c.holdUp(from, to, func() { send() }) {
 					replies[p] = send()
 				}
 			}
@@ -78,8 +78,13 @@
 
 // testClusterWith runs a test on a cluster with a leader, heartbeats and adjusted options.
 func testClusterWith(t *testing.T, adjust func(*leader.Options), f func(*cluster)) {
+	testClusterOf(t, 2, adjust, f)
+}
+
+// testClusterOf does the same with any number of instances.
+func testClusterOf(t *testing.T, instances int, adjust func(*leader.Options), f func(*cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newClusterWith(t, 1, adjust)
+		c := newClusterOf(t, instances, 1, adjust)
 		ctx, cancel := context.WithCancel(t.Context())
 		go c.sendHeartbeats(ctx)
 		time.Sleep(10 * time.Second)
--- a/internal/serve/leader/history_test.go
+++ b/internal/serve/leader/history_test.go
@@ -56,10 +56,10 @@
 	processes   int
 	// workers are the fakeWorkers as the leaders call them.
 	workers *recordingWorkers
-	// separated means that the instances don't reach each other; heldUp are the messages of that time.
-	mu        sync.Mutex
-	separated bool
-	heldUp    []func()
+	// mu guards apart, the instances that are separated from the others, and heldUp, the messages between them.
+	mu     sync.Mutex
+	apart  []*entry
+	heldUp []func()
 	// adjust changes the options of each new leader service.
 	adjust func(*leader.Options)
 }
@@ -72,10 +72,10 @@
 func (noDetector) StoreRefused(int64) bool  { return false }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
-	return newClusterWith(t, seed, func(*leader.Options) {})
+	return newClusterOf(t, 2, seed, func(*leader.Options) {})
 }
 
-func newClusterWith(t *testing.T, seed uint64, adjust func(*leader.Options)) *cluster {
+func newClusterOf(t *testing.T, instances int, seed uint64, adjust func(*leader.Options)) *cluster {
 	var workers []work.Worker
 	for i := range 4 {
 		name := fmt.Sprintf("w%d", i)
@@ -88,7 +88,7 @@
 	c.rules.Configure(work.NewConfig(work.Config{Version: 1,
 		Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}},
 		Customers: map[string]work.Customer{"c": {Name: "c", Cap: work.Need{CPU: 12000}}}}))
-	for i := range 2 {
+	for i := range instances {
 		c.entries = append(c.entries, &entry{name: fmt.Sprintf("e%d", i), link: c.store.Link(),
 			workers: &linkedWorkers{Workers: c.workers, cut: map[work.WorkerID]bool{}}})
 		c.start(c.entries[i])
--- a/internal/serve/leader/partition_test.go
+++ b/internal/serve/leader/partition_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -69,21 +70,22 @@
 	return w.Workers.Renew(ctx, r, fence)
 }
 
-// holdUp keeps a message until the instances reach each other again, and reports whether it did.
-func (c *cluster) holdUp(deliver func()) bool {
+// holdUp keeps a message between separated instances until they reach each other again, and reports whether it did.
+func (c *cluster) holdUp(from, to *entry, deliver func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.separated {
-		c.heldUp = append(c.heldUp, deliver)
+	if slices.Contains(c.apart, from) == slices.Contains(c.apart, to) {
+		return false
 	}
-	return c.separated
+	c.heldUp = append(c.heldUp, deliver)
+	return true
 }
 
-// setSeparated separates the instances or delivers the messages that were held up meanwhile.
-func (c *cluster) setSeparated(separated bool) {
+// setApart separates instances from the others; without any it delivers the messages that were held up meanwhile.
+func (c *cluster) setApart(apart ...*entry) {
 	c.mu.Lock()
 	heldUp := c.heldUp
-	c.separated, c.heldUp = separated, nil
+	c.apart, c.heldUp = apart, nil
 	c.mu.Unlock()
 	for _, deliver := range heldUp {
 		deliver()
@@ -92,7 +94,7 @@
 
 // separate cuts an instance with half of the workers off from the store, the other instances and the other workers.
 func (c *cluster) separate(e *entry) {
-	c.setSeparated(true)
+	c.setApart(e)
 	c.cutOff(e, 0)
 }
 
@@ -118,7 +120,7 @@
 // after random times.
 func (c *cluster) rejoin(r *rand.Rand, e *entry) {
 	pause := func() { time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond) }
-	c.setSeparated(false)
+	c.setApart()
 	for i := range 4 {
 		pause()
 		for _, other := range c.entries {
@@ -178,13 +180,13 @@
 		for _, e := range c.entries {
 			e.link.SetFaults(fakes.Faults{Down: true})
 		}
-		c.setSeparated(true)
+		c.setApart(c.leader())
 		time.Sleep(4 * time.Second)
-		c.setSeparated(false)
+		c.setApart()
 		rejoined := time.Now()
 		time.Sleep(10 * time.Second)
-		if !c.leader().service.Load().HasQuorum() {
-			t.Error("no quorum after the instances have rejoined: the test shows nothing")
+		if !c.leader().service.Load().PeersConfirm() {
+			t.Error("the peer does not confirm the leader after it has rejoined: the test shows nothing")
 		}
 		if n := c.workers.startsAfter(rejoined); n > 0 {
 			t.Errorf("%d start commands without authority", n)
@@ -230,3 +232,40 @@
 		})
 	}
 }
+
+// Guards against a former leader that goes on without a bound because most instances, which the store doesn't serve
+// either, don't know the later leader: that one starts the tasks of workers that it can't reach elsewhere once the
+// leases of the former one must have expired.
+func TestMajorityWithoutStore(t *testing.T) {
+	for _, first := range []int{0, 2} {
+		t.Run(fmt.Sprintf("keeps w%d", first), func(t *testing.T) {
+			testClusterOf(t, 3, func(*leader.Options) {}, func(c *cluster) { testMajorityWithoutStore(t, c, first) })
+		})
+	}
+}
+
+func testMajorityWithoutStore(t *testing.T, c *cluster, first int) {
+	c.fakeWorkers.SetRunTime(30 * time.Second)
+	for i := range 4 {
+		c.submit(context.Background(), longJob(i))
+	}
+	time.Sleep(time.Second)
+	former := c.leader()
+	later := c.other(former)
+	c.setApart(later)
+	for _, e := range c.entries {
+		if e != later {
+			e.link.SetFaults(fakes.Faults{Down: true})
+		}
+	}
+	c.cutWorkers(former, first, false)
+	c.cutWorkers(later, first, true)
+	time.Sleep(20 * time.Second)
+	if !later.service.Load().IsLeader() {
+		t.Error("the instance with the store does not lead: the test shows nothing")
+	}
+	c.rejoin(rand.New(rand.NewPCG(1, 1)), former)
+	for _, v := range c.fakeWorkers.Check() {
+		t.Error(v)
+	}
+}
--- a/internal/serve/leader/quorum.go
+++ b/internal/serve/leader/peers.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,10 +9,10 @@
 )
 
 const (
-	// quorumMaxAge is how long a peer counts towards the quorum after the last time at which it is known to have known
-	// of no later term.
-	quorumMaxAge = 2 * time.Second
-	// memberMaxAge is how long a peer counts as a member after its last heartbeat.
+	// peersMaxAge is how long the authority to send commands lasts after the last time at which all peers are known to
+	// have known of no later term.
+	peersMaxAge = 2 * time.Second
+	// memberMaxAge is how long an instance counts as a peer after its last heartbeat.
 	memberMaxAge = time.Minute
 	// heartbeatMaxAge is how long what a heartbeat tells of a peer counts: heartbeats come every 400 ms, and one may be
 	// lost.
@@ -76,31 +75,29 @@
 	return ok && s.leadership != nil && h.confirmedTerm == s.leadership.Term() && !h.confirmedAt.Before(t)
 }
 
-// hasQuorum reports whether a majority of the members, this process included, is known to have known of no later term
-// within quorumMaxAge.
-func (s *Service) hasQuorum() bool { return time.Since(s.quorumAt()) <= quorumMaxAge }
+// peersConfirm reports whether all peers are known to have known of no later term within peersMaxAge.
+func (s *Service) peersConfirm() bool { return time.Since(s.peersConfirmedAt()) <= peersMaxAge }
 
-// quorumAt returns the latest time after which a majority of the members, this process included, is known to have known
-// of no later term. Without peers it returns the zero time, because a process that is cut off would confirm itself.
-func (s *Service) quorumAt() time.Time {
+// peersConfirmedAt returns the latest time after which every peer is known to have known of no later term. A majority
+// would not do: a minority that the store serves can elect a later leader. Without peers it returns the zero time,
+// because a process that is cut off would confirm itself.
+func (s *Service) peersConfirmedAt() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	var times []time.Time
+	var earliest time.Time
+	first := true
 	for name, h := range s.heartbeats {
-		switch {
-		case now.Sub(h.at) > memberMaxAge:
+		if now.Sub(h.at) > memberMaxAge {
 			delete(s.heartbeats, name)
-		case s.confirmedSince(name, time.Time{}):
-			times = append(times, h.confirmedAt)
-		default:
-			times = append(times, time.Time{})
+			continue
+		}
+		if !s.confirmedSince(name, time.Time{}) {
+			return time.Time{}
+		}
+		if first || h.confirmedAt.Before(earliest) {
+			first, earliest = false, h.confirmedAt
 		}
 	}
-	if len(times) == 0 {
-		return time.Time{}
-	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	// Of the members, which are one more than the peers, this process is one that confirms.
-	return times[(len(times)+1)/2-1]
+	return earliest
 }
--- a/internal/serve/leader/quorum_test.go
+++ b/internal/serve/leader/peers_test.go
@@ -2,26 +2,27 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
+	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
-// Guards against a quorum of heartbeats that don't prove that their senders know of no later term now: they echo an old
-// stamp, that of another term, none, as those of earlier builds, or one that was never given.
-func TestQuorumNeedsRecentEchoes(t *testing.T) {
+// Guards against authority from heartbeats that don't prove that their senders know of no later term now: they echo an
+// old stamp, that of another term, none, as those of earlier builds, or one that was never given.
+func TestPeersConfirmByRecentEchoes(t *testing.T) {
 	echo := func(r peer.HeartbeatReply) (time.Duration, int64) { return r.Stamp, r.Term }
 	tests := []struct {
 		name string
 		echo func(r peer.HeartbeatReply) (time.Duration, int64)
-		// delay is the age of the echoed reply, quorum whether the heartbeats count.
-		delay  time.Duration
-		quorum bool
+		// delay is the age of the echoed reply, confirms whether the heartbeat counts.
+		delay    time.Duration
+		confirms bool
 	}{
-		{name: "recent", echo: echo, delay: 500 * time.Millisecond, quorum: true},
+		{name: "recent", echo: echo, delay: 500 * time.Millisecond, confirms: true},
 		{name: "old", echo: echo, delay: 2100 * time.Millisecond},
 		{name: "none", echo: func(peer.HeartbeatReply) (time.Duration, int64) { return 0, 0 }},
 		{name: "other term", echo: func(r peer.HeartbeatReply) (time.Duration, int64) { return r.Stamp, r.Term - 1 }},
@@ -31,7 +32,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			testCluster(t, func(c *cluster) {
 				l := c.leader().service.Load()
-				c.setSeparated(true)
+				c.setApart(c.leader())
 				time.Sleep(5 * time.Second)
 				beat := func(q peer.HeartbeatRequest) peer.HeartbeatReply {
 					q.From = c.other(c.leader()).name
@@ -41,8 +42,8 @@
 				time.Sleep(x.delay)
 				stamp, term := x.echo(r)
 				beat(peer.HeartbeatRequest{Term: 1, Echo: stamp, EchoTerm: term})
-				if got := l.HasQuorum(); got != x.quorum {
-					t.Errorf("quorum %t", got)
+				if got := l.PeersConfirm(); got != x.confirms {
+					t.Errorf("confirms: %t", got)
 				}
 			})
 		})
@@ -50,7 +51,7 @@
 }
 
 // Guards against a leader that stops all work while the store is away for every instance, although its peers see it.
-func TestQuorumKeepsAuthority(t *testing.T) {
+func TestPeersKeepAuthority(t *testing.T) {
 	testCluster(t, func(c *cluster) {
 		for i := range 4 {
 			c.submit(context.Background(), longJob(i))
@@ -74,5 +75,13 @@
 			return o
 		}
 	}
-	panic(fmt.Sprintf("no instance besides %s", e.name))
+	panic("no instance besides " + e.name)
+}
+
+// Guards against authority that lasts longer than a later leader waits before it treats the leases of the former one as
+// expired.
+func TestAuthorityEndsBeforeInheritedLeases(t *testing.T) {
+	if longest := max(leader.AuthorityMaxAge, leader.PeersMaxAge); longest >= engine.DefaultAuthority {
+		t.Errorf("authority lasts %v, a later leader waits %v", longest, engine.DefaultAuthority)
+	}
 }
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -27,7 +27,7 @@
 	maxPlanPause = 100 * time.Millisecond
 	// tickInterval is the time between two checks for timers of the scheduler that are due.
 	tickInterval = 100 * time.Millisecond
-	// authorityMaxAge is how long a transaction confirms the right to send commands; after that a quorum must.
+	// authorityMaxAge is how long a transaction confirms the right to send commands; after that all peers must.
 	authorityMaxAge = 2 * time.Second
 )
 
@@ -107,8 +107,9 @@
 }
 
 // hasAuthority reports whether this process may still send commands: leadership is not known to be lost, and the store
-// has confirmed it within authorityMaxAge or a quorum of the members has ever since. Once authority has ended, only the
-// store can confirm that no later leader has acted meanwhile.
+// has confirmed it within authorityMaxAge or all peers have ever since. A later leader is one of the peers, so that
+// authority ends at most the longer of both times after that has acquired leadership, within engine.Options.Authority.
+// Once authority has ended, only the store can confirm that no later leader has acted meanwhile.
 func (s *session) hasAuthority() bool {
 	if s.leadership.Lost() {
 		return false
@@ -123,7 +124,7 @@
 	}
 	extend(now.Add(authorityMaxAge - s.leadership.SinceConfirmed()))
 	if s.authorityUntil.After(now) {
-		extend(s.service.quorumAt().Add(quorumMaxAge))
+		extend(s.service.peersConfirmedAt().Add(peersMaxAge))
 	}
 	return s.authorityUntil.After(now)
 }
@@ -189,7 +190,7 @@
 		if has := s.hasAuthority(); has != had {
 			had = has
 			s.log.Info("leader: authority to send commands changed", zap.Bool("authority", has),
-				zap.Duration("age", s.leadership.SinceConfirmed()), zap.Bool("quorum", s.service.hasQuorum()),
+				zap.Duration("age", s.leadership.SinceConfirmed()), zap.Bool("peers", s.service.peersConfirm()),
 				zap.Bool("lost", s.leadership.Lost()))
 		}
 		s.wakeLoops()
