leader: Check authority again right before a command leaves

plan and renewLoop check authority once and hand the commands to goroutines. A process that is frozen or gets no processor time between the check and the sending sends them seconds later, as a former leader. A start or renewal carries the lease that was computed at the check, so a worker refuses a late start and a late renewal extends nothing; the invariant of the leases holds without this commit. Stops and throttles carry no lease.

Commands without authority are withheld: their runs are released, since no byte has left, and their workers don't count as unresponsive.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -72,11 +72,13 @@
 	TicketRequired
 	// Invalid: the worker rejects the command as malformed.
 	Invalid
+	// Withheld: this process had no authority to send the command any more; no byte left it.
+	Withheld
 )
 
 // outcomeNames are the names of the outcomes in logs and in a label of the metrics.
 var outcomeNames = [...]string{"carried out", "not sent", "no reply", "unhealthy", "full", "outdated", "overdue",
-	"fenced", "replaced", "no ticket", "invalid"}
+	"fenced", "replaced", "no ticket", "invalid", "withheld"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -137,7 +139,7 @@
 			delete(r.stepState.ticketState.expiry, w.ID)
 		}
 		sc.releaseRun(r)
-	case Outdated, LeaseExpired, Invalid:
+	case Outdated, LeaseExpired, Invalid, Withheld:
 		sc.releaseRun(r)
 	case Fenced:
 		// Leadership is lost: the new leader decides what happens to the run.
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -60,8 +60,8 @@
 // run executes one command of a script. "orders" lists the commands that are due and, with "carried", reports them all
 // as applied, "settle" reports the outcome of one; "next" prepares a renewal, "look" and "unanswered" deliver a reply
 // to it or none, "advise" replies to the last ticket request; "ready" lets every worker report empty run lists and
-// commits a batch; "confirmed" confirms leadership as of now, and until then leases expire unconditionally; "hold" cordons
-// a worker, "close" closes it, "out" evacuates a zone.
+// commits a batch; "confirmed" confirms leadership as of now, before the first of them leases expire unconditionally;
+// "hold" cordons a worker, "close" closes it, "out" evacuates a zone.
 func (s *script) run(d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "config":
@@ -312,7 +312,7 @@
 }
 
 var outcomes = map[string]Outcome{"carried": Applied, "notsent": NotSent, "noreply": NoReply, "full": Full,
-	"replaced": Replaced, "ticketless": TicketRequired, "unhealthy": Unhealthy, "outdated": Outdated}
+	"replaced": Replaced, "ticketless": TicketRequired, "unhealthy": Unhealthy, "outdated": Outdated, "withheld": Withheld}
 
 func (s *script) handleOutcome(d *datadriven.TestData) string {
 	var text, result string
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -89,7 +89,11 @@
 // execute sends one command to its worker and records the outcome, unless the context has ended by then.
 func (s *session) execute(ctx context.Context, c engine.Command) {
 	sent := time.Now()
-	result := s.service.Workers.Execute(ctx, c, s.leadership.FencingToken())
+	result := engine.Withheld
+	// Authority may have ended since the command was planned, for example while the process was frozen.
+	if s.hasAuthority() {
+		result = s.service.Workers.Execute(ctx, c, s.leadership.FencingToken())
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -181,6 +185,9 @@
 }
 
 func (s *session) renew(ctx context.Context, r engine.Renewal) {
+	if !s.hasAuthority() {
+		return
+	}
 	sent := time.Now()
 	reply, result := s.service.Workers.Renew(ctx, r, s.leadership.FencingToken())
 	if ctx.Err() != nil {
