--- a/internal/serve/leader/latereply_test.go
+++ b/internal/serve/leader/latereply_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
@@ -16,7 +15,7 @@
 // lateReplies are workers whose replies the leader reads too late for a while: they execute everything at once, but the
 // calls time out, all but those with a long time-out.
 type lateReplies struct {
-	*fakes.Workers
+	leader.Workers
 	mu   sync.Mutex
 	late bool
 	// reported are the tasks whose successful end was in a reply, violations the starts of such tasks.
@@ -67,10 +66,11 @@
 	for delay := time.Duration(0); delay < 600*time.Millisecond; delay += 50 * time.Millisecond {
 		workers := &lateReplies{reported: map[work.TaskID]bool{}}
 		adjust := func(o *leader.Options) {
-			workers.Workers = o.Workers.(*recordingWorkers).Workers
+			workers.Workers = o.Workers
 			o.Workers = workers
 		}
 		testClusterWith(t, adjust, func(c *cluster) {
+			defer func() { workers.violations = append(workers.violations, c.fakeWorkers.Violations...) }()
 			const jobs = 8
 			ids := make([]work.JobID, jobs)
 			for i := range ids {
@@ -89,7 +89,7 @@
 				}
 			}
 		})
-		for _, v := range append(workers.violations, workers.Violations...) {
+		for _, v := range workers.violations {
 			t.Errorf("replies late after %v: %s", delay, v)
 		}
 	}
