engine: Start nothing beside a run of unknown need

Cause: the store keeps no steps of a job that has ended. A new leader that finds a run of a job that was cancelled under its predecessor stops it, but reserved nothing for it, so that other tasks could start beside it until it had ended and bring a worker that does not enforce its capacity over it. A worker that does enforce it declined such starts.

Such a worker has no free capacity now until the run has ended or is ruled out.

testdata/unknownneed failed before: with 2,000 of 2,000 in use, a task of 1,000 started while the run was being stopped.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -201,6 +201,7 @@
 	w.runs[a.Run] = r
 	s := sc.findStep(a.Run.Task)
 	if s == nil {
+		w.unknownRuns++
 		sc.requestStop(r, "no such task in an open round")
 		sc.log.Info("engine: found run of an unknown task; stopping it", zap.Stringer("task", a.Run.Task),
 			zap.Int64("run", a.Run.Number), zap.String("worker", string(w.ID)))
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -27,6 +27,8 @@
 	// reserved is the total that its runs reserve.
 	reserved work.Need
 	runs     map[work.RunKey]*run
+	// unknownRuns counts the runs of unknown tasks among its runs, whose needs are unknown.
+	unknownRuns int
 	// clock is the worker's clock in milliseconds at the local time clockReadAt; it is unknown while that is zero.
 	clock       int64
 	clockReadAt time.Time
@@ -52,8 +54,17 @@
 	givenUp map[work.RunKey]givenUpRun
 }
 
-// free returns the capacity that is not reserved.
-func (w *worker) free() work.Need { return w.Capacity.Minus(w.reserved) }
+// noCapacity is the free capacity of a worker that fits no task.
+var noCapacity = work.Need{CPU: -1, Memory: -1, GPU: -1}
+
+// free returns the capacity that is not reserved. It is negative if the capacity has shrunk below what is reserved, and
+// noCapacity beside a run of unknown need.
+func (w *worker) free() work.Need {
+	if w.unknownRuns > 0 {
+		return noCapacity
+	}
+	return w.Capacity.Minus(w.reserved)
+}
 
 // estimatedClock estimates the worker's clock; it lags the real one by at most the transit time of the last reply.
 func (w *worker) estimatedClock() int64 { return w.clock + time.Since(w.clockReadAt).Milliseconds() }
@@ -303,6 +314,7 @@
 	delete(sc.stopping, r.key)
 	w.reserved = w.reserved.Minus(r.need)
 	if s == nil {
+		w.unknownRuns--
 		return
 	}
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Minus(r.charge)
