engine, leader: Judge what is possible by the capacity that workers may have again

Callers: a job would get 422 (never possible) although it runs as soon as the workers have grown again.

Cause: the check for impossible jobs compared a step with the capacity that the workers report now. That was constant until workers could shrink.

What counts now is the largest amount of each resource that a worker has reported since its start and what the platform's list says of its machine. A new leader knows the workers only as they are at the moment. Until it has read the list of machines, a job that no worker fits is answered as by an instance that can't decide (nothing done, try again); one beyond its customer's cap is refused at once as before. Such a job that is accepted waits until a worker has grown.

Failed before: testdata/shrunkpossible (refused), and TestShrunkWorkersDoNotMakeJobsImpossible ("a task of 2000 gets never, want elsewhere", and after the list "gets never, want open").

--- a/internal/model/work/need.go
+++ b/internal/model/work/need.go
@@ -14,6 +14,11 @@
 
 func (n Need) Minus(o Need) Need { return Need{n.CPU - o.CPU, n.Memory - o.Memory, n.GPU - o.GPU} }
 
+// Max returns the larger amount of each resource.
+func (n Need) Max(o Need) Need {
+	return Need{max(n.CPU, o.CPU), max(n.Memory, o.Memory), max(n.GPU, o.GPU)}
+}
+
 // Times returns the total need of a number of equal tasks.
 func (n Need) Times(count int) Need {
 	c := int64(count)
--- /dev/null
+++ b/internal/sched/engine/capacity.go
@@ -0,0 +1,18 @@
+package engine
+
+import "github.com/yuccahaven/yuccahaven/internal/model/work"
+
+// SetMachineCapacities records the capacity of each machine by the platform's list of machines. A worker may report less
+// for a while.
+func (sc *Scheduler) SetMachineCapacities(capacities map[string]work.Need) {
+	sc.machineCapacities = capacities
+}
+
+// KnowsMachines reports whether the platform's list of machines has been read.
+func (sc *Scheduler) KnowsMachines() bool { return sc.machineCapacities != nil }
+
+// potentialCapacity returns the capacity that a worker may have again: the largest that it reported since its start and
+// that of its machine.
+func (sc *Scheduler) potentialCapacity(w *worker) work.Need {
+	return w.largestCapacity.Max(sc.machineCapacities[w.Machine])
+}
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -72,6 +72,8 @@
 	inheritedUntil time.Time
 	// dirtyWorkers are the workers whose record in the store is to be written or deleted.
 	dirtyWorkers map[work.WorkerID]bool
+	// machineCapacities are the capacities of the machines by name; nil until they are known.
+	machineCapacities map[string]work.Need
 	// stopping are the runs that are to be stopped.
 	stopping map[work.RunKey]*run
 }
--- a/internal/sched/engine/submit.go
+++ b/internal/sched/engine/submit.go
@@ -21,6 +21,17 @@
 	ErrUnknownJob = errors.New("engine: no such job")
 )
 
+// NoWorkerFitsError is the ErrImpossible of a job with a step that exceeds the capacity of every worker of its pool.
+type NoWorkerFitsError struct{ Step int }
+
+// Error returns the error's text.
+func (e *NoWorkerFitsError) Error() string {
+	return fmt.Sprintf("%v: step %d needs more than any worker has", ErrImpossible, e.Step)
+}
+
+// Unwrap returns ErrImpossible.
+func (e *NoWorkerFitsError) Unwrap() error { return ErrImpossible }
+
 // firstVersion is the version of a newly accepted job.
 const firstVersion = 1
 
@@ -50,7 +61,7 @@
 }
 
 // checkPossible returns an error that says why a job can never run, or nil. The workers' capacity counts only if the
-// pool has any listed.
+// pool has any listed, and then the capacity that they may have again.
 func (sc *Scheduler) checkPossible(j work.Job, q work.Queue) error {
 	limit := sc.config.Customers[j.Customer].Cap
 	for i, s := range j.Steps {
@@ -61,11 +72,11 @@
 		for _, w := range sc.workers {
 			if w.Pool == q.Pool && w.listed && !w.ended {
 				seen = true
-				fits = fits || s.Reserved().FitsIn(w.Capacity)
+				fits = fits || s.Reserved().FitsIn(sc.potentialCapacity(w))
 			}
 		}
 		if seen && !fits {
-			return fmt.Errorf("%w: step %d needs more than any worker has", ErrImpossible, i)
+			return &NoWorkerFitsError{Step: i}
 		}
 	}
 	return nil
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -24,6 +24,8 @@
 	confirmed bool
 	// inUse means that tasks may run on the worker, inUseStored that the store has a record of that.
 	inUse, inUseStored bool
+	// largestCapacity is the largest amount of each resource that the worker has reported since its start.
+	largestCapacity work.Need
 	// reserved is the total that its runs reserve.
 	reserved work.Need
 	runs     map[work.RunKey]*run
@@ -98,7 +100,7 @@
 func (sc *Scheduler) updateWorker(l work.Worker) {
 	w, ok := sc.workers[l.ID]
 	if !ok {
-		w = &worker{Worker: l, listed: true, runs: map[work.RunKey]*run{}}
+		w = &worker{Worker: l, listed: true, largestCapacity: l.Capacity, runs: map[work.RunKey]*run{}}
 		sc.workers[l.ID] = w
 		sc.log.Info("engine: worker added", zap.String("worker", string(l.ID)), zap.String("pool", l.Pool),
 			zap.String("zone", l.Zone), zap.String("address", l.Address))
@@ -114,6 +116,7 @@
 	incarnation := max(w.Incarnation, l.Incarnation)
 	w.Worker = l
 	w.Incarnation = incarnation
+	w.largestCapacity = w.largestCapacity.Max(l.Capacity)
 	w.listed = true
 	if w.ended && time.Since(w.endedAt) > endedTTL {
 		// Still listed, so the worker was marked ended by mistake.
@@ -138,6 +141,7 @@
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
 	w.clock, w.lastLeaseEnd = 0, 0
 	w.clockReadAt = time.Time{}
+	w.largestCapacity = work.Need{}
 	delete(sc.inherited, w.ID)
 }
 
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -189,10 +189,13 @@
 		m.listedAt = sent
 		m.machines = map[string]Machine{}
 		running := make(map[string]work.WorkerID, len(list))
+		capacities := make(map[string]work.Need, len(list))
 		for _, x := range list {
 			m.machines[x.Name] = x
 			running[x.Name] = work.WorkerID(x.Worker)
+			capacities[x.Name] = x.Capacity
 		}
+		m.session.scheduler.SetMachineCapacities(capacities)
 		m.session.scheduler.Reconcile(running, sent)
 		m.session.wakeLoops()
 	}()
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -265,13 +265,18 @@
 	}
 	version, err := s.scheduler.Submit(j)
 	behind := s.scheduler.Version() < q.Version
+	machinesUnknown := s.service.Machines != nil && !s.scheduler.KnowsMachines()
 	s.mu.Unlock()
+	noWorkerFits := (*engine.NoWorkerFitsError)(nil)
 	switch {
 	case errors.Is(err, engine.ErrUnknownQueue) && behind:
 		// The requesting instance has a newer config, which may contain the queue.
 		return peer.JobReply{Result: peer.NotLeader}
 	case errors.Is(err, engine.ErrUnknownQueue):
 		return peer.JobReply{Result: peer.NoQueue}
+	case errors.As(err, &noWorkerFits) && machinesUnknown:
+		// The workers may be smaller than usual.
+		return peer.JobReply{Result: peer.NotLeader}
 	case err != nil:
 		s.log.Info("leader: job rejected as impossible", zap.String("job", string(j.ID)), zap.Error(err))
 		return peer.JobReply{Result: peer.Impossible}
