leader: Count what workers report when machines are moved

Callers: jobs would wait in a pool whose workers have shrunk while others have machines to spare.

Cause: the mover took a machine's CPU from the platform's list of machines, which does not follow a capacity that shrinks while the worker runs. The pool counted as supplied and got no machine.

A machine that is up counts with the CPU that its worker reports; one that is moving, in maintenance or without a listed worker counts as before.

TestShrunkWorkersCountForMoves failed before ("with a capacity of 1000 the pool counts 8000, want 5000").

--- a/internal/sched/engine/capacity.go
+++ b/internal/sched/engine/capacity.go
@@ -11,6 +11,15 @@
 // KnowsMachines reports whether the platform's list of machines has been read.
 func (sc *Scheduler) KnowsMachines() bool { return sc.machineCapacities != nil }
 
+// WorkerCapacity returns the capacity that a worker reported last, or false if it is not listed or has ended.
+func (sc *Scheduler) WorkerCapacity(id work.WorkerID) (work.Need, bool) {
+	w, ok := sc.workers[id]
+	if !ok || !w.listed || w.ended {
+		return work.Need{}, false
+	}
+	return w.Capacity, true
+}
+
 // potentialCapacity returns the capacity that a worker may have again: the largest that it reported since its start and
 // that of its machine.
 func (sc *Scheduler) potentialCapacity(w *worker) work.Need {
--- a/internal/serve/leader/capacity_test.go
+++ b/internal/serve/leader/capacity_test.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/plan/shift"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
+	"github.com/yuccahaven/yuccahaven/internal/state/rules"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -56,3 +58,30 @@
 		}
 	})
 }
+
+// Guards against a pool that counts as supplied, so that no machine is moved to it, although its workers have shrunk: the
+// platform's list of machines does not show that.
+func TestShrunkWorkersCountForMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		s := &session{log: zap.NewNop(), scheduler: engine.New(engine.DefaultOptions(), 1, nil),
+			leadership: &elect.Leadership{}, service: &Service{Options: Options{Log: zap.NewNop()}}}
+		config := work.NewConfig(work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}},
+			Pools: map[string]work.Pool{"p": {Name: "p"}, "spare": {Name: "spare", Spare: true}}})
+		s.scheduler.Configure(config)
+		m := &mover{session: s, planner: shift.New(shift.Default()), operations: map[string]*operation{},
+			refusedPools: map[string][]string{}, busyUntil: map[string]time.Time{}, listedAt: start, startedAt: start,
+			machines: map[string]Machine{
+				"m": {Name: "m", Pool: "p", Up: true, Worker: "w", Capacity: work.Need{CPU: 4000}},
+				"n": {Name: "n", Pool: "p", Up: true, Worker: "x", Capacity: work.Need{CPU: 4000}}}}
+		for _, c := range []struct{ capacity, want int64 }{{1000, 5000}, {4000, 8000}} {
+			// The worker of machine n has not been listed yet.
+			s.scheduler.SetWorkers([]work.Worker{{ID: "w", Pool: "p", Machine: "m", Capacity: work.Need{CPU: c.capacity}}})
+			time.Sleep(time.Second)
+			m.planMoves(rules.Rules{Config: config})
+			if got := m.planner.Reports()[0].CPU; got != c.want {
+				t.Errorf("with a capacity of %d the pool counts %d, want %d", c.capacity, got, c.want)
+			}
+		}
+	})
+}
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -332,7 +332,7 @@
 		if current.EvacuatedZones[x.Zone] {
 			continue
 		}
-		o := shift.Machine{Name: x.Name, Pool: x.Pool, CPU: x.Capacity.CPU, Off: x.Pool == spare,
+		o := shift.Machine{Name: x.Name, Pool: x.Pool, CPU: m.availableCPU(x), Off: x.Pool == spare,
 			RefusedBy: m.refusedPools[x.Name]}
 		if op := m.operations[x.Name]; op != nil {
 			if op.pool != "" {
@@ -364,6 +364,15 @@
 	}
 }
 
+// availableCPU returns the CPU that a machine has for tasks: what its worker reports, or what the machine has if there is
+// no such report.
+func (m *mover) availableCPU(x Machine) int64 {
+	if c, ok := m.session.scheduler.WorkerCapacity(work.WorkerID(x.Worker)); ok && x.Up {
+		return c.CPU
+	}
+	return x.Capacity.CPU
+}
+
 // poolLogInterval is the time between two reports on the pools in the log.
 const poolLogInterval = time.Second
 
