engine: Start nothing on a restarted worker before its new report

Cause: a worker that restarts under its id may be of another kind. The scheduler learns of the restart from the first reply of the new incarnation, which comes before the worker's new entry, and confirmed the worker at once with the labels and the capacity of its former life. A start in between could exceed the capacity of a worker that does not enforce it, or go to one without the required label.

The report has to be of the current incarnation now before the worker gets tasks. Renewals, stops and the handling of ends don't wait for it.

--- a/internal/sched/engine/capacity.go
+++ b/internal/sched/engine/capacity.go
@@ -20,6 +20,12 @@
 	return w.Capacity, true
 }
 
+// isDescribed reports whether the labels and the capacity known of a worker are those of its current incarnation. After a
+// restart the worker may be of another kind, and its report may come later than its first reply.
+func (w *worker) isDescribed() bool {
+	return w.describedIncarnation == 0 || w.describedIncarnation >= w.Incarnation
+}
+
 // potentialCapacity returns the capacity that a worker may have again: the largest that it reported since its start and
 // that of its machine.
 func (sc *Scheduler) potentialCapacity(w *worker) work.Need {
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -59,7 +59,7 @@
 
 // run executes one command of a script. "orders" lists the commands that are due and, with "carried", reports them all
 // as applied, "settle" reports the outcome of one; "next" prepares a renewal, "look" and "unanswered" deliver a reply
-// to it or none, "advise" replies to the last ticket request; "ready" lets every worker report empty run lists and
+// to it, with "born" one of that incarnation, or none, "advise" replies to the last ticket request; "ready" lets every worker report empty run lists and
 // commits a batch; "hold" cordons a worker, "out" evacuates a zone.
 func (s *script) run(d *datadriven.TestData) string {
 	switch d.Cmd {
@@ -359,6 +359,11 @@
 			reply.Incarnation = w.Incarnation
 		}
 	}
+	for _, a := range d.CmdArgs[1:] {
+		if a.Key == "born" {
+			reply.Incarnation = s.number(a.Vals[0])
+		}
+	}
 	for _, l := range lines(d) {
 		words := strings.Fields(l)
 		_, m := fields(strings.Join(words[1:], " "))
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -24,6 +24,8 @@
 	confirmed bool
 	// inUse means that tasks may run on the worker, inUseStored that the store has a record of that.
 	inUse, inUseStored bool
+	// describedIncarnation is the incarnation that reported the worker's labels and capacity; 0 if unknown.
+	describedIncarnation int64
 	// largestCapacity is the largest amount of each resource that the worker has reported since its start.
 	largestCapacity work.Need
 	// reserved is the total that its runs reserve.
@@ -100,7 +102,8 @@
 func (sc *Scheduler) updateWorker(l work.Worker) {
 	w, ok := sc.workers[l.ID]
 	if !ok {
-		w = &worker{Worker: l, listed: true, largestCapacity: l.Capacity, runs: map[work.RunKey]*run{}}
+		w = &worker{Worker: l, listed: true, describedIncarnation: l.Incarnation, largestCapacity: l.Capacity,
+			runs: map[work.RunKey]*run{}}
 		sc.workers[l.ID] = w
 		sc.log.Info("engine: worker added", zap.String("worker", string(l.ID)), zap.String("pool", l.Pool),
 			zap.String("zone", l.Zone), zap.String("address", l.Address))
@@ -116,6 +119,7 @@
 	incarnation := max(w.Incarnation, l.Incarnation)
 	w.Worker = l
 	w.Incarnation = incarnation
+	w.describedIncarnation = l.Incarnation
 	w.largestCapacity = w.largestCapacity.Max(l.Capacity)
 	w.listed = true
 	if w.ended && time.Since(w.endedAt) > endedTTL {
@@ -231,6 +235,7 @@
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
 	return w.inUseStored && w.listed && !w.ended && w.confirmed && !w.Leaving && w.unresponsiveSince.IsZero() &&
+		w.isDescribed() &&
 		!sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
