engine: Don't rely on old reports of workers that accept everything

Cause: while the table of workers can't be read the leader learns of no smaller capacity, and went on to start tasks by the last one it knew, for as long as its leadership was confirmed or a majority saw it. Workers that reject what does not fit make that harmless; those of a service without enforcesCapacity start whatever they are told.

The watcher of the workers' table now says as of when its view is complete: the time at which the last successful read was sent, at least once per long poll (1 s) while the store answers. On workers that accept everything nothing starts once that is older than contactMs. A worker reports within a heartbeat, so that a view of that age misses only a shrinking that does not count yet. Stops, renewals and what runs are not affected, and workers that enforce their capacity get tasks as before. Weighed: going on by the last report until a worker's entry is known to be old one by one. An entry that does not change is not written to the feed again, so that its age says nothing.

Cost: with the store away for more than contactMs, nothing starts in such services.

--- a/internal/lab/fakes/workers.go
+++ b/internal/lab/fakes/workers.go
@@ -103,9 +103,11 @@
 }
 
 // Watch implements leader.Fleet by polling the list.
-func (w *Workers) Watch(ctx context.Context, changed func([]work.Worker)) {
+func (w *Workers) Watch(ctx context.Context, changed func([]work.Worker), current func(at time.Time)) {
 	for ctx.Err() == nil {
+		at := time.Now()
 		changed(w.List())
+		current(at)
 		sleep(ctx, 100*time.Millisecond)
 	}
 }
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -22,6 +22,9 @@
 	Authority time.Duration
 	// JobRetention is how long ended jobs are kept.
 	JobRetention time.Duration
+	// MaxReportAge is how old the workers' reports may be for starts on workers that don't reject tasks which don't fit;
+	// 0 means no limit.
+	MaxReportAge time.Duration
 	// Startup is how long a long-running task takes until it is available.
 	Startup time.Duration
 }
@@ -74,6 +77,8 @@
 	dirtyWorkers map[work.WorkerID]bool
 	// machineCapacities are the capacities of the machines by name; nil until they are known.
 	machineCapacities map[string]work.Need
+	// reportsCurrentAt is the time of the last view that held all reports of the workers.
+	reportsCurrentAt time.Time
 	// stopping are the runs that are to be stopped.
 	stopping map[work.RunKey]*run
 }
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -235,7 +235,7 @@
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
 	return w.inUseStored && w.listed && !w.ended && w.confirmed && !w.Leaving && w.unresponsiveSince.IsZero() &&
-		w.isDescribed() &&
+		w.isDescribed() && sc.mayHaveCapacity(w, now) &&
 		!sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -30,9 +30,10 @@
 	Authorize(ctx context.Context, r engine.TicketRequest) ([]engine.Ticket, time.Duration, error)
 }
 
-// Fleet watches the platform's list of workers until the context ends.
+// Fleet watches the platform's list of workers until the context ends: it passes on the list when it has changed, and the
+// times at which the list last passed on held all reports of the workers.
 type Fleet interface {
-	Watch(ctx context.Context, changed func([]work.Worker))
+	Watch(ctx context.Context, changed func([]work.Worker), current func(at time.Time))
 }
 
 // Rules returns the operators' current rules and a channel that is closed when they change.
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -136,6 +136,10 @@
 		s.mu.Unlock()
 		s.startRenewals(ctx, &loops)
 		s.wakeLoops()
+	}, func(at time.Time) {
+		s.mu.Lock()
+		s.scheduler.ConfirmReports(at)
+		s.mu.Unlock()
 	})
 	loops.Wait()
 }
