engine: Repeat a start of unknown outcome instead of stopping it

A stop for an unknown start asks no budget, because the run was believed not to exist, and was not taken back when the run turned up. Class: an order that is right only as long as an observation holds, sent over a way that delays it.

Now such a start is repeated, with the same number, after a list that does not show the run. The worker confirms it if the run is there or starts it now, and declines it as outdated if the run has ended or was stopped; copies that arrive later change nothing. So the outcome is settled by an order that is right whether the run exists or not.

- The run counts as possible all the while.
A repeat that is declined for lack of capacity or otherwise says nothing of the earlier copies: the run is stopped as before, and released when a list after the confirmed stop does not show it.
- Declined as outdated, the run is not released either, since its end may be `done` and not listed yet; the next list decides.
- A start that may not happen any more (worker leaving, cordoned, evacuated, shrunk or with an old report; queue moved, customer over its cap, no valid ticket, gang) is stopped as before.
A gang's other members wait too shortly.
- If a run turns up after all while a stop for its unknown start is not confirmed, no more stops are sent, and for the length of a lease it does not count as available, because copies of the stop may still end it.

Ruled out: asking the disruption budget when the stop is requested. The run is not at work then, and the budget of the moment of execution is not known.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -113,6 +113,10 @@
 	}
 	now := time.Now()
 	r.phaseSince = now
+	if r.repeated {
+		sc.handleRepeatOutcome(r, result)
+		return
+	}
 	switch result {
 	case Applied:
 		r.phase = active
--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -151,7 +151,7 @@
 // was last reported at full speed and is not being stopped.
 func (sc *Scheduler) isAvailable(t *task, now time.Time) bool {
 	for _, r := range t.runs {
-		if r.phase == active && !r.stopRequested && r.speed >= 100 && r.worker.unresponsiveSince.IsZero() &&
+		if r.phase == active && !r.stopRequested && !sc.mayBeStoppedLate(r, now) && r.speed >= 100 && r.worker.unresponsiveSince.IsZero() &&
 			now.Sub(r.startedAt) >= sc.options.Startup+startupMargin {
 			return true
 		}
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -79,6 +79,8 @@
 	machineCapacities map[string]work.Need
 	// reportsCurrentAt is the time of the last view that held all reports of the workers.
 	reportsCurrentAt time.Time
+	// repeats are the runs whose starts are to be repeated.
+	repeats []*run
 	// stopping are the runs that are to be stopped.
 	stopping map[work.RunKey]*run
 }
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -109,6 +109,8 @@
 	stepState *stepState
 	worker    *worker
 	phase     phase
+	// repeated means that the start was sent more than once.
+	repeated bool
 	// need is what the run reserves on its worker, charge what it uses of its customer's cap.
 	need, charge work.Need
 	// startedAt is when the start was issued or the run adopted; phaseSince is when its phase was last set.
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -15,7 +15,8 @@
 func (sc *Scheduler) Commands() []Command {
 	now := time.Now()
 	sc.evict(now)
-	commands := sc.stopCommands(now)
+	commands := sc.repeatCommands(now)
+	commands = append(commands, sc.stopCommands(now)...)
 	commands = append(commands, sc.throttleCommands(now)...)
 	for _, p := range sc.pools {
 		if len(p.ready) > 0 {
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -169,6 +169,7 @@
 			r.phase = active
 			r.phaseSince = time.Now()
 		}
+		sc.keepStartedRun(r)
 		r.checkpoint = a.Checkpoint
 		r.speed, r.loadSignal = a.Percent, a.LoadSignal
 		sc.observeLatency(r)
@@ -183,7 +184,7 @@
 			sc.releaseRun(r)
 		case r.stopRequested:
 		case r.phase == startUnknown:
-			sc.requestStop(r, "start outcome unknown")
+			sc.resolveStart(r)
 		default:
 			sc.log.Warn("engine: run missing from its worker's run list; stopping it", zap.Stringer("task", key.Task),
 				zap.Int64("run", key.Number), zap.String("worker", string(w.ID)))
