engine: Log changes of a worker's capacity

A worker that gets nothing because it has shrunk could not be told from the log: only its free CPU showed, and only when something started there.

--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -116,6 +116,10 @@
 		sc.log.Info("engine: leaving state of worker changed", zap.String("worker", string(l.ID)),
 			zap.Bool("leaving", l.Leaving), zap.Int("runs", len(w.runs)))
 	}
+	if l.Capacity != w.Capacity {
+		sc.log.Info("engine: capacity of worker changed", zap.String("worker", string(l.ID)), zap.Any("from", w.Capacity),
+			zap.Any("to", l.Capacity), zap.Any("reserved", w.reserved), zap.Int("runs", len(w.runs)))
+	}
 	incarnation := max(w.Incarnation, l.Incarnation)
 	w.Worker = l
 	w.Incarnation = incarnation
