--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -182,6 +182,7 @@
 			r.phase = active
 			r.phaseSince = time.Now()
 		}
+		sc.keepStartedRun(r)
 		r.checkpoint = a.Checkpoint
 		r.speed, r.loadSignal = a.Percent, a.LoadSignal
 		sc.observeLatency(r)
@@ -199,7 +200,7 @@
 			sc.releaseRun(r)
 		case r.stopRequested:
 		case r.phase == startUnknown:
-			sc.requestStop(r, "start outcome unknown")
+			sc.resolveStart(r)
 		default:
 			sc.log.Warn("engine: run missing from its worker's run list; stopping it", zap.Stringer("task", key.Task),
 				zap.Int64("run", key.Number), zap.String("worker", string(w.ID)))
@@ -217,6 +218,7 @@
 	w.runs[a.Run] = r
 	s := sc.findStep(a.Run.Task)
 	if s == nil {
+		w.unknownRuns++
 		sc.requestStop(r, "no such task in an open round")
 		sc.log.Info("engine: found run of an unknown task; stopping it", zap.Stringer("task", a.Run.Task),
 			zap.Int64("run", a.Run.Number), zap.String("worker", string(w.ID)))
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -24,9 +24,15 @@
 	confirmed bool
 	// inUse means that tasks may run on the worker, inUseStored that the store has a record of that.
 	inUse, inUseStored bool
+	// describedIncarnation is the incarnation that reported the worker's labels and capacity; 0 if unknown.
+	describedIncarnation int64
+	// largestCapacity is the largest amount of each resource that the worker has reported since its start.
+	largestCapacity work.Need
 	// reserved is the total that its runs reserve.
 	reserved work.Need
 	runs     map[work.RunKey]*run
+	// unknownRuns counts the runs of unknown tasks among its runs, whose needs are unknown.
+	unknownRuns int
 	// clock is the worker's clock in milliseconds at the local time clockReadAt; it is unknown while that is zero.
 	clock       int64
 	clockReadAt time.Time
@@ -58,8 +64,17 @@
 	givenUp map[work.RunKey]givenUpRun
 }
 
-// free returns the capacity that is not reserved.
-func (w *worker) free() work.Need { return w.Capacity.Minus(w.reserved) }
+// noCapacity is the free capacity of a worker that fits no task.
+var noCapacity = work.Need{CPU: -1, Memory: -1, GPU: -1}
+
+// free returns the capacity that is not reserved. It is negative if the capacity has shrunk below what is reserved, and
+// noCapacity beside a run of unknown need.
+func (w *worker) free() work.Need {
+	if w.unknownRuns > 0 {
+		return noCapacity
+	}
+	return w.Capacity.Minus(w.reserved)
+}
 
 // estimatedClock estimates the worker's clock; it lags the real one by at most the transit time of the last reply.
 func (w *worker) estimatedClock() int64 { return w.clock + time.Since(w.clockReadAt).Milliseconds() }
@@ -93,7 +108,8 @@
 func (sc *Scheduler) updateWorker(l work.Worker) {
 	w, ok := sc.workers[l.ID]
 	if !ok {
-		w = &worker{Worker: l, listed: true, runs: map[work.RunKey]*run{}}
+		w = &worker{Worker: l, listed: true, describedIncarnation: l.Incarnation, largestCapacity: l.Capacity,
+			runs: map[work.RunKey]*run{}}
 		sc.workers[l.ID] = w
 		sc.log.Info("engine: worker added", zap.String("worker", string(l.ID)), zap.String("pool", l.Pool),
 			zap.String("zone", l.Zone), zap.String("address", l.Address))
@@ -106,9 +122,15 @@
 		sc.log.Info("engine: leaving state of worker changed", zap.String("worker", string(l.ID)),
 			zap.Bool("leaving", l.Leaving), zap.Int("runs", len(w.runs)))
 	}
+	if l.Capacity != w.Capacity {
+		sc.log.Info("engine: capacity of worker changed", zap.String("worker", string(l.ID)), zap.Any("from", w.Capacity),
+			zap.Any("to", l.Capacity), zap.Any("reserved", w.reserved), zap.Int("runs", len(w.runs)))
+	}
 	incarnation := max(w.Incarnation, l.Incarnation)
 	w.Worker = l
 	w.Incarnation = incarnation
+	w.describedIncarnation = l.Incarnation
+	w.largestCapacity = w.largestCapacity.Max(l.Capacity)
 	w.listed = true
 	if w.ended && time.Since(w.endedAt) > endedTTL {
 		// Still listed, so the worker was marked ended by mistake.
@@ -134,6 +156,7 @@
 	w.unackedEnds = nil
 	w.clock, w.lastLeaseEnd = 0, 0
 	w.clockReadAt = time.Time{}
+	w.largestCapacity = work.Need{}
 	delete(sc.inherited, w.ID)
 }
 
@@ -230,8 +253,8 @@
 // usable reports whether a worker may get tasks now; callers check separately whether it is cordoned. The store must
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
-	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && !w.Leaving &&
-		w.unresponsiveSince.IsZero() && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
+	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && w.isDescribed() && !w.Leaving &&
+		w.unresponsiveSince.IsZero() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
 // evict stops long-running tasks on leaving workers, those on cordoned workers as far as disruption budgets and free
@@ -318,6 +341,7 @@
 	delete(sc.stopping, r.key)
 	w.reserved = w.reserved.Minus(r.need)
 	if s == nil {
+		w.unknownRuns--
 		return
 	}
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Minus(r.charge)
