sched/engine: Log which runs a crash of a worker may be ascribed to

Observability for the task that crashes its workers, no change of logic. Ends that were announced (leaving, cordoned, evacuated) and machines that this system took away are left out; runs whose leases had expired are considered if the worker turns out to have restarted.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -127,7 +127,7 @@
 		w.backoffUntil = now.Add(unhealthyBackoff)
 		sc.releaseRun(r)
 	case Replaced:
-		sc.markEnded(w, "another worker answers at its address")
+		sc.markCrashed(w, "another worker answers at its address")
 	case Full:
 		w.backoffUntil = now.Add(fullBackoff)
 		sc.releaseRun(r)
@@ -157,7 +157,7 @@
 	case Applied:
 		r.stopAppliedAt = time.Now()
 	case Replaced:
-		sc.markEnded(w, "another worker answers at its address")
+		sc.markCrashed(w, "another worker answers at its address")
 	case NotSent, NoReply:
 		sc.markUnresponsive(w)
 	default:
--- a/internal/sched/engine/giveup.go
+++ b/internal/sched/engine/giveup.go
@@ -12,6 +12,10 @@
 type givenUpRun struct {
 	reason string
 	at     time.Time
+	// confirmedFor is how long the run was known to have been active.
+	confirmedFor time.Duration
+	// considered means that the run is not to be considered as the cause of a crash any more.
+	considered bool
 }
 
 // giveUpRuns releases the runs of a worker although their ends are not known. The worker remembers them, so that the
@@ -22,7 +26,7 @@
 		if w.givenUp == nil {
 			w.givenUp = map[work.RunKey]givenUpRun{}
 		}
-		w.givenUp[key] = givenUpRun{reason, now}
+		w.givenUp[key] = givenUpRun{reason: reason, at: now, confirmedFor: r.confirmedFor()}
 		sc.releaseRun(r)
 	}
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -110,7 +110,7 @@
 		return
 	}
 	if result == Replaced {
-		sc.markEnded(w, "another worker answers at its address")
+		sc.markCrashed(w, "another worker answers at its address")
 		return
 	}
 	sc.markUnresponsive(w)
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -122,6 +122,7 @@
 	sc.log.Info("engine: worker restarted; releasing its runs", zap.String("worker", string(w.ID)),
 		zap.Int64("born", incarnation), zap.Int64("former", w.Incarnation), zap.Int("runs", len(w.runs)))
 	sc.giveUpRuns(w, "worker restarted")
+	sc.recordCrash(w)
 	w.Incarnation = incarnation
 	w.confirmed, w.ended = false, false
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
@@ -160,6 +161,7 @@
 func (sc *Scheduler) MarkWorkerEnded(id work.WorkerID) {
 	if w, ok := sc.workers[id]; ok {
 		sc.markEnded(w, "its machine was taken away")
+		sc.forgetGivenUp(w)
 	}
 }
 
@@ -176,7 +178,7 @@
 		if sc.inherited[id] != nil || !w.unresponsiveSince.IsZero() && w.unresponsiveSince.Before(sent) {
 			sc.log.Info("engine: machine runs another worker or none; marking worker ended", zap.String("machine", w.Machine),
 				zap.String("worker", string(id)), zap.String("now", string(current)))
-			sc.markEnded(w, "its machine runs another worker or none")
+			sc.markCrashed(w, "its machine runs another worker or none")
 		}
 	}
 }
