sched/engine: Give up a job whose task crashes its workers

Cause: attempts count only runs that a worker reports as failed. A worker that crashes reports nothing; its runs were released like those of a machine that was moved and started again without a limit. Class: a retry without a bound, because its failure is seen through another channel than the one that counts.

The engine now ascribes the crash of a worker (restart, or an end that the list of machines or another worker at its address shows; also after its leases have expired) to the runs that it had not known to be active for 200 ms. A crash ends all runs of a worker, so a count alone would hit the tasks beside the deadly one. Therefore a suspect starts only where every other run is known to be active, and nothing starts beside it until it is as well: a second crash then has one candidate. This separates starts in time, so that it needs no empty worker; a worker is kept free of starts for at most a second if there is none, and a suspect waits for 3 s at most. The job fails after two crashes that followed a confirmed start, one of them with a single candidate, or after four of any kind. It fails a second later, as the crash may turn out to be part of the loss of an availability zone or rack, which blames no task. The count is stored with the progress; starts aren't, so a change of leadership may hide a crash. A gang counts as one task. Long-running tasks are cleared like others once they are active.

Each crash costs the other runs of a worker and its capacity for 3 s, and two leave room for crashes that a change of leadership hides. A suspect without restrictions until its second crash would cost one more worker each time.

deadly, crashcount, crashlate, deadlygang and suspectwait fail on the former code: the job goes on, or the suspect starts anywhere. masscrash differs there in the stored rows alone; crashstart passes.

--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -74,6 +74,14 @@
 	dirtyWorkers map[work.WorkerID]bool
 	// stopping are the runs that are to be stopped.
 	stopping map[work.RunKey]*run
+	// crashes are the crashes of workers within massWindow.
+	crashes []*workerCrash
+	// crashesChanged means that crashes were added since mass events were looked for.
+	crashesChanged bool
+	// exceeded are the tasks that reached the limit of crashes and whose jobs are to be given up.
+	exceeded []candidate
+	// held are the workers that are kept free for suspects.
+	held []*worker
 }
 
 // pool holds the steps that wait for workers of a pool.
--- a/internal/sched/engine/giveup.go
+++ b/internal/sched/engine/giveup.go
@@ -14,6 +14,10 @@
 	at     time.Time
 	// confirmedFor is how long the run was known to have been active.
 	confirmedFor time.Duration
+	// started means that the worker had confirmed the start.
+	started bool
+	// lateStart means that the run was started on a cordoned worker, whose machine may have been taken away meanwhile.
+	lateStart bool
 	// considered means that the run is not to be considered as the cause of a crash any more.
 	considered bool
 }
@@ -26,7 +30,8 @@
 		if w.givenUp == nil {
 			w.givenUp = map[work.RunKey]givenUpRun{}
 		}
-		w.givenUp[key] = givenUpRun{reason: reason, at: now, confirmedFor: r.confirmedFor()}
+		w.givenUp[key] = givenUpRun{reason: reason, at: now, confirmedFor: r.confirmedFor(), started: r.phase == active,
+			lateStart: r.lateStart}
 		sc.releaseRun(r)
 	}
 }
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -88,6 +88,9 @@
 	runs       []*run
 	// lastRunEndedAt is when the task was last left without a run; zero if it never had one.
 	lastRunEndedAt time.Time
+	// suspicion is nil unless workers have crashed soon after they started the task; the first task of a gang has that of
+	// the whole gang.
+	suspicion *suspicion
 }
 
 // phase is what is known of a run's start.
@@ -129,7 +132,9 @@
 	// means that a throttle command is outstanding.
 	throttle        int
 	throttlePending bool
-	checkpoint      string
+	// lateStart means that the run was started although its worker was cordoned.
+	lateStart  bool
+	checkpoint string
 }
 
 func (s *stepState) task(index int) work.TaskID {
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -15,6 +15,8 @@
 func (sc *Scheduler) Commands() []Command {
 	now := time.Now()
 	sc.evict(now)
+	sc.findMassCrashes(now)
+	sc.releaseHeld(now)
 	commands := sc.stopCommands(now)
 	commands = append(commands, sc.throttleCommands(now)...)
 	for _, p := range sc.pools {
@@ -177,8 +179,13 @@
 	return false
 }
 
-// fits reports whether a worker has capacity for one more task of a step and satisfies the step's constraints.
+// fits reports whether one more task of a step may start on a worker that is usable.
 func (sc *Scheduler) fits(s *stepState, w *worker) bool {
+	return !w.held && !w.onProbation() && sc.hasRoom(s, w)
+}
+
+// hasRoom reports whether a worker has capacity for one more task of a step and satisfies the step's constraints.
+func (sc *Scheduler) hasRoom(s *stepState, w *worker) bool {
 	if !s.spec.Reserved().FitsIn(w.free()) || !w.Has(s.spec.Label) {
 		return false
 	}
@@ -305,6 +312,12 @@
 		if !sc.withinCap(s, 1) {
 			break
 		}
+		if t.suspicion != nil {
+			if w := sc.chooseForSuspect(s, t, workers, now); w != nil {
+				commands = append(commands, sc.startRun(s, i, w, sc.nextRunNumber(t.lastNumber), now))
+			}
+			continue
+		}
 		w := sc.chooseWorker(s, workers)
 		if w == nil {
 			break
@@ -319,6 +332,7 @@
 	if s.waiting != len(s.tasks) || !sc.withinCap(s, len(s.tasks)) {
 		return nil
 	}
+	workers = sc.gangWorkers(s, workers, now)
 	chosen := make([]*worker, len(s.tasks))
 	need := s.spec.Reserved()
 	count := map[*worker]int{}
@@ -375,6 +389,7 @@
 	r := &run{
 		key: work.RunKey{Task: s.task(index), Number: number}, stepState: s, worker: w, phase: startSent,
 		need: s.spec.Reserved(), charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100, speed: 100,
+		lateStart: w.cordoned,
 	}
 	t.runs = append(t.runs, r)
 	s.waiting--
@@ -382,6 +397,7 @@
 	w.reserved = w.reserved.Plus(r.need)
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Plus(r.charge)
 	s.job.started = true
+	sc.markProbation(r)
 	sc.log.Info("engine: starting run", zap.Stringer("task", r.key.Task), zap.Int64("run", number),
 		zap.String("worker", string(w.ID)), zap.Int64("config", sc.config.Version), zap.Int64("free", w.free().CPU),
 		zap.Duration("seen", now.Sub(w.clockReadAt)), zap.Duration("slack", s.job.deadline.Sub(now)))
--- /dev/null
+++ b/internal/sched/engine/probation.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+)
+
+// A task suspected of crashing its worker starts only on a worker where every other run is known to have been active
+// for crashWindow, and nothing else starts there until the same is known of it. If the worker crashes in that time,
+// there is no other candidate.
+
+const (
+	// probationWait is how long a suspect waits at most for such a worker.
+	probationWait = 3 * time.Second
+	// holdTime is how long a worker gets no other tasks because a suspect waits for one; at most one of
+	// heldFraction workers is held, and at least one.
+	holdTime     = time.Second
+	heldFraction = 4
+)
+
+// onProbation reports whether a suspect has started on a worker and may still crash it.
+func (w *worker) onProbation() bool {
+	r := w.probation
+	return r != nil && w.runs[r.key] == r && r.confirmedFor() < crashWindow
+}
+
+// isSettled reports whether every run on a worker is known to have been active for crashWindow.
+func (w *worker) isSettled() bool {
+	for _, r := range w.runs {
+		if r.confirmedFor() < crashWindow {
+			return false
+		}
+	}
+	return true
+}
+
+// markProbation records that a run of a suspect starts on its worker.
+func (sc *Scheduler) markProbation(r *run) {
+	if p := r.stepState.suspect(r.key.Task.Index).suspicion; p.count() > 0 {
+		p.waitingSince = time.Time{}
+		r.worker.probation = r
+		r.worker.held = false
+	}
+}
+
+// hasWaited reports whether a suspect that can't start now has waited for probationWait.
+func (p *suspicion) hasWaited(now time.Time) bool {
+	if p.waitingSince.IsZero() {
+		p.waitingSince = now
+	}
+	return now.Sub(p.waitingSince) > probationWait
+}
+
+// chooseForSuspect returns the worker for a task that may have caused crashes, or nil if it waits for one or its job is
+// to be given up.
+func (sc *Scheduler) chooseForSuspect(s *stepState, t *task, workers []*worker, now time.Time) *worker {
+	switch {
+	case t.suspicion.exceeded():
+		return nil
+	case t.suspicion.count() == 0 || t.suspicion.hasWaited(now):
+		return sc.chooseWorker(s, workers)
+	}
+	fitting := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
+		return w.cordoned || w.onProbation() || !sc.hasRoom(s, w) || !w.isSettled()
+	})
+	if len(fitting) > 0 {
+		return slices.MinFunc(fitting, compareByRuns)
+	}
+	sc.holdWorker(s, workers, now)
+	return nil
+}
+
+// compareByRuns orders workers by their number of runs, so that a crash ends few.
+func compareByRuns(x, y *worker) int {
+	return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), cmp.Compare(x.ID, y.ID))
+}
+
+// holdWorker keeps other tasks away from one more worker for holdTime, so that a suspect can start there.
+func (sc *Scheduler) holdWorker(s *stepState, workers []*worker, now time.Time) {
+	held := 0
+	var possible []*worker
+	for _, w := range workers {
+		switch {
+		case w.held:
+			held++
+		case !w.cordoned && !w.onProbation() && w.Has(s.spec.Label) && s.spec.Reserved().FitsIn(w.freeOfFinite()):
+			possible = append(possible, w)
+		}
+	}
+	if len(possible) == 0 || held >= max(1, len(workers)/heldFraction) {
+		return
+	}
+	w := slices.MinFunc(possible, compareByRuns)
+	w.held, w.heldUntil = true, now.Add(holdTime)
+	sc.held = append(sc.held, w)
+}
+
+// freeOfFinite returns the capacity that is free once all finite runs have ended.
+func (w *worker) freeOfFinite() work.Need {
+	n := w.Capacity
+	for _, r := range w.runs {
+		if r.stepState != nil && r.stepState.spec.LongRunning {
+			n = n.Minus(r.need)
+		}
+	}
+	return n
+}
+
+// releaseHeld lets tasks start again on workers that were held for holdTime.
+func (sc *Scheduler) releaseHeld(now time.Time) {
+	sc.held = slices.DeleteFunc(sc.held, func(w *worker) bool {
+		if w.held && now.After(w.heldUntil) {
+			w.held = false
+		}
+		return !w.held
+	})
+}
+
+// gangWorkers returns the workers on which a gang may start: for a suspect those where it would be the only candidate
+// of a crash, for at most probationWait, and none once its job is to be given up.
+func (sc *Scheduler) gangWorkers(s *stepState, workers []*worker, now time.Time) []*worker {
+	t := &s.tasks[0]
+	switch {
+	case t.suspicion.exceeded():
+		return nil
+	case t.suspicion.count() == 0 || t.suspicion.hasWaited(now):
+		return workers
+	}
+	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !w.isSettled() })
+}
--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -58,6 +58,8 @@
 	Failed map[int][]int64 `json:"failed,omitempty"`
 	// Checkpoints are the last checkpoints of unfinished tasks, by task index.
 	Checkpoints map[int]string `json:"saved,omitempty"`
+	// Crashes are the numbers of crashes that unfinished tasks may have caused, by task index.
+	Crashes map[int]int `json:"crashes,omitempty"`
 }
 
 // workerRecord is the stored form of a worker on which tasks may run.
@@ -245,6 +247,12 @@
 				}
 				e.Failed[i] = t.failedRuns
 			}
+			if n := t.suspicion.certain(); n > 0 {
+				if e.Crashes == nil {
+					e.Crashes = map[int]int{}
+				}
+				e.Crashes[i] = n
+			}
 			if t.checkpoint != "" {
 				if e.Checkpoints == nil {
 					e.Checkpoints = map[int]string{}
@@ -400,6 +408,7 @@
 			}
 			t.failedRuns = e.Failed[i]
 			t.checkpoint = e.Checkpoints[i]
+			sc.restoreSuspicion(s, i, e.Crashes[i])
 			for _, n := range t.failedRuns {
 				t.lastNumber = max(t.lastNumber, n)
 			}
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -172,6 +172,7 @@
 		r.checkpoint = a.Checkpoint
 		r.speed, r.loadSignal = a.Percent, a.LoadSignal
 		sc.observeLatency(r)
+		sc.clearSuspicion(r)
 	}
 	for key, r := range w.runs {
 		if present[key] || r.phaseSince.After(sent) || r.phase == startSent {
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -50,6 +50,13 @@
 	failureRate float64
 	// givenUp are the runs that were released although their ends are not known, until the worker replies again.
 	givenUp map[work.RunKey]givenUpRun
+	// crashedAt is when the last crash of the worker became known.
+	crashedAt time.Time
+	// probation is the last run of a suspect that was started there.
+	probation *run
+	// held means that the worker gets no other tasks until heldUntil because a suspect waits for it.
+	held      bool
+	heldUntil time.Time
 }
 
 // free returns the capacity that is not reserved.
@@ -348,6 +355,7 @@
 func (sc *Scheduler) Tick() {
 	now := time.Now()
 	sc.logStalls(now)
+	sc.failExceeded(now)
 	for id, w := range sc.workers {
 		if !w.unresponsiveSince.IsZero() && w.inUse && now.After(w.leaseExpiry()) && sc.inherited[id] == nil {
 			sc.expireLeases(w, now)
