--- a/internal/sched/engine/probation.go
+++ b/internal/sched/engine/isolation.go
@@ -13,17 +13,17 @@
 // there is no other candidate.
 
 const (
-	// probationWait is how long a suspect waits at most for such a worker.
-	probationWait = 3 * time.Second
+	// isolationWait is how long a suspect waits at most for such a worker.
+	isolationWait = 3 * time.Second
 	// holdTime is how long a worker gets no other tasks because a suspect waits for one; at most one of
 	// heldFraction workers is held, and at least one.
 	holdTime     = time.Second
 	heldFraction = 4
 )
 
-// onProbation reports whether a suspect has started on a worker and may still crash it.
-func (w *worker) onProbation() bool {
-	r := w.probation
+// isIsolated reports whether a suspect has started on a worker and may still crash it.
+func (w *worker) isIsolated() bool {
+	r := w.isolated
 	return r != nil && w.runs[r.key] == r && r.confirmedFor() < crashWindow
 }
 
@@ -37,21 +37,21 @@
 	return true
 }
 
-// markProbation records that a run of a suspect starts on its worker.
-func (sc *Scheduler) markProbation(r *run) {
+// isolate records that a run of a suspect starts on its worker.
+func (sc *Scheduler) isolate(r *run) {
 	if p := r.stepState.suspect(r.key.Task.Index).suspicion; p.count() > 0 {
 		p.waitingSince = time.Time{}
-		r.worker.probation = r
+		r.worker.isolated = r
 		r.worker.held = false
 	}
 }
 
-// hasWaited reports whether a suspect that can't start now has waited for probationWait.
+// hasWaited reports whether a suspect that can't start now has waited for isolationWait.
 func (p *suspicion) hasWaited(now time.Time) bool {
 	if p.waitingSince.IsZero() {
 		p.waitingSince = now
 	}
-	return now.Sub(p.waitingSince) > probationWait
+	return now.Sub(p.waitingSince) > isolationWait
 }
 
 // chooseForSuspect returns the worker for a task that may have caused crashes, or nil if it waits for one or its job is
@@ -64,7 +64,7 @@
 		return sc.chooseWorker(s, workers)
 	}
 	fitting := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
-		return w.cordoned || w.onProbation() || !sc.hasRoom(s, w) || !w.isSettled()
+		return w.cordoned || w.isIsolated() || !sc.hasRoom(s, w) || !w.isSettled()
 	})
 	if len(fitting) > 0 {
 		return slices.MinFunc(fitting, compareByRuns)
@@ -86,7 +86,7 @@
 		switch {
 		case w.held:
 			held++
-		case !w.cordoned && !w.onProbation() && w.Has(s.spec.Label) && s.spec.Reserved().FitsIn(w.freeOfFinite()):
+		case !w.cordoned && !w.isIsolated() && w.Has(s.spec.Label) && s.spec.Reserved().FitsIn(w.freeOfFinite()):
 			possible = append(possible, w)
 		}
 	}
@@ -120,7 +120,7 @@
 }
 
 // gangWorkers returns the workers on which a gang may start: for a suspect those where it would be the only candidate
-// of a crash, for at most probationWait, and none once its job is to be given up.
+// of a crash, for at most isolationWait, and none once its job is to be given up.
 func (sc *Scheduler) gangWorkers(s *stepState, workers []*worker, now time.Time) []*worker {
 	t := &s.tasks[0]
 	switch {
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -181,7 +181,7 @@
 
 // fits reports whether one more task of a step may start on a worker that is usable.
 func (sc *Scheduler) fits(s *stepState, w *worker) bool {
-	return !w.held && !w.onProbation() && sc.hasRoom(s, w)
+	return !w.held && !w.isIsolated() && sc.hasRoom(s, w)
 }
 
 // hasRoom reports whether a worker has capacity for one more task of a step and satisfies the step's constraints.
@@ -397,7 +397,7 @@
 	w.reserved = w.reserved.Plus(r.need)
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Plus(r.charge)
 	s.job.started = true
-	sc.markProbation(r)
+	sc.isolate(r)
 	sc.log.Info("engine: starting run", zap.Stringer("task", r.key.Task), zap.Int64("run", number),
 		zap.String("worker", string(w.ID)), zap.Int64("config", sc.config.Version), zap.Int64("free", w.free().CPU),
 		zap.Duration("seen", now.Sub(w.clockReadAt)), zap.Duration("slack", s.job.deadline.Sub(now)))
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -52,8 +52,8 @@
 	givenUp map[work.RunKey]givenUpRun
 	// crashedAt is when the last crash of the worker became known.
 	crashedAt time.Time
-	// probation is the last run of a suspect that was started there.
-	probation *run
+	// isolated is the last run of a suspect that was started there.
+	isolated *run
 	// held means that the worker gets no other tasks until heldUntil because a suspect waits for it.
 	held      bool
 	heldUntil time.Time
