--- a/internal/sched/engine/candidates.go
+++ b/internal/sched/engine/candidates.go
@@ -37,11 +37,12 @@
 
 // mayPlace reports whether a task of a step may be placed in this pass: some worker has capacity for it, a cordoned one
 // only if the step may use these, and the customer's cap allows it. The cap does not matter to a step that needs
-// tickets, since these are requested before the cap allows a start.
+// tickets, since these are requested before the cap allows a start, and capacity not to one with suspects, for which a
+// worker is held.
 func (sc *Scheduler) mayPlace(s *stepState, workers, cordoned *candidates) bool {
 	needsTicket := sc.queueOf(s.job).NeedsTicket
 	if !needsTicket && !sc.withinCap(s, 1) {
 		return false
 	}
-	return sc.haveCapacity(workers, s) || s.spec.LongRunning && !needsTicket && sc.haveCapacity(cordoned, s)
+	return s.hasSuspects() || sc.haveCapacity(workers, s) || s.spec.LongRunning && !needsTicket && sc.haveCapacity(cordoned, s)
 }
--- a/internal/sched/engine/giveup.go
+++ b/internal/sched/engine/giveup.go
@@ -12,6 +12,14 @@
 type givenUpRun struct {
 	reason string
 	at     time.Time
+	// confirmedFor is how long the run was known to have been active.
+	confirmedFor time.Duration
+	// started means that the worker had confirmed the start.
+	started bool
+	// lateStart means that the run was started on a cordoned worker, whose machine may have been taken away meanwhile.
+	lateStart bool
+	// considered means that the run is not to be considered as the cause of a crash any more.
+	considered bool
 }
 
 // giveUpRuns releases the runs of a worker although their ends are not known. The worker remembers them, so that the
@@ -22,7 +30,8 @@
 		if w.givenUp == nil {
 			w.givenUp = map[work.RunKey]givenUpRun{}
 		}
-		w.givenUp[key] = givenUpRun{reason, now}
+		w.givenUp[key] = givenUpRun{reason: reason, at: now, confirmedFor: r.confirmedFor(), started: r.phase == active,
+			lateStart: r.lateStart}
 		sc.releaseRun(r)
 	}
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if result == Replaced {
-		sc.markEnded(w, "another worker answers at its address")
+		sc.markCrashed(w, "another worker answers at its address")
 		return
 	}
 	sc.markUnresponsive(w)
@@ -186,6 +186,7 @@
 		r.checkpoint = a.Checkpoint
 		r.speed, r.loadSignal = a.Percent, a.LoadSignal
 		sc.observeLatency(r)
+		sc.clearSuspicion(r)
 	}
 	if reply.Truncated {
 		return
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -100,6 +100,7 @@
 		id := work.WorkerID(d.CmdArgs[0].Key)
 		o := s.renewals[id]
 		o.Worker = id
+		delete(s.renewals, id)
 		s.scheduler.HandleRenewalFailure(o, NoReply)
 	case "wait":
 		s.wait(d)
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -62,6 +62,13 @@
 	failureRate float64
 	// givenUp are the runs that were released although their ends are not known, until the worker replies again.
 	givenUp map[work.RunKey]givenUpRun
+	// crashedAt is when the last crash of the worker became known.
+	crashedAt time.Time
+	// isolated is the last run of a suspect that was started there.
+	isolated *run
+	// held means that the worker gets no other tasks until heldUntil because a suspect waits for it.
+	held      bool
+	heldUntil time.Time
 }
 
 // noCapacity is the free capacity of a worker that fits no task.
@@ -150,6 +157,7 @@
 	sc.log.Info("engine: worker restarted; releasing its runs", zap.String("worker", string(w.ID)),
 		zap.Int64("born", incarnation), zap.Int64("former", w.Incarnation), zap.Int("runs", len(w.runs)))
 	sc.giveUpRuns(w, "worker restarted")
+	sc.recordCrash(w)
 	w.Incarnation = incarnation
 	w.confirmed, w.ended = false, false
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
@@ -190,6 +198,7 @@
 func (sc *Scheduler) MarkWorkerEnded(id work.WorkerID) {
 	if w, ok := sc.workers[id]; ok {
 		sc.markEnded(w, "its machine was taken away")
+		sc.forgetGivenUp(w)
 	}
 }
 
@@ -206,7 +215,7 @@
 		if sc.inherited[id] != nil || !w.unresponsiveSince.IsZero() && w.unresponsiveSince.Before(sent) {
 			sc.log.Info("engine: machine runs another worker or none; marking worker ended", zap.String("machine", w.Machine),
 				zap.String("worker", string(id)), zap.String("now", string(current)))
-			sc.markEnded(w, "its machine runs another worker or none")
+			sc.markCrashed(w, "its machine runs another worker or none")
 		}
 	}
 }
@@ -392,6 +401,7 @@
 func (sc *Scheduler) Tick() {
 	now := time.Now()
 	sc.logStalls(now)
+	sc.failExceeded(now)
 	for id, w := range sc.workers {
 		if sc.inherited[id] == nil && w.isSilent() && sc.leasesExpired(w.leaseExpiry(), now) {
 			sc.expireLeases(w, now)
