leader: Random histories of partitions with three instances

The histories cut instances, the store and workers into two sides, with instances that the store refuses on its side too, commands that are lost or late, and heartbeats that are held up.

--- a/internal/serve/leader/partition_test.go
+++ b/internal/serve/leader/partition_test.go
@@ -269,3 +269,48 @@
 		t.Error(v)
 	}
 }
+
+// Guards against double runs in random partitions: instances, the store and workers fall into two sides, some instances
+// are refused by the store on their side too, and commands are lost or late.
+func TestPartitionHistories(t *testing.T) {
+	for seed := range uint64(historyCount) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			testClusterOf(t, 3, func(*leader.Options) {}, func(c *cluster) { testPartitionHistory(t, c, seed) })
+		})
+	}
+}
+
+func testPartitionHistory(t *testing.T, c *cluster, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 17))
+	c.fakeWorkers.SetFaults(fakes.WorkerFaults{NoReplyRate: 0.03, MaxDelay: 8 * time.Second})
+	for i := range 6 {
+		c.submit(context.Background(), longJob(i))
+	}
+	for range 6 {
+		c.fakeWorkers.SetRunTime(time.Duration(r.IntN(3)) * 4 * time.Second)
+		time.Sleep(time.Duration(r.IntN(3000)) * time.Millisecond)
+		first := 2 * r.IntN(2)
+		var apart []*entry
+		for _, e := range c.entries {
+			onStoreSide := r.IntN(2) == 0
+			if !onStoreSide {
+				apart = append(apart, e)
+			}
+			if !onStoreSide || r.IntN(4) == 0 {
+				e.link.SetFaults(fakes.Faults{Down: true})
+			}
+			c.cutWorkers(e, first, onStoreSide)
+			time.Sleep(time.Duration(r.IntN(2)*r.IntN(4000)) * time.Millisecond)
+		}
+		c.setApart(apart...)
+		time.Sleep(time.Duration(500+r.IntN(12000)) * time.Millisecond)
+		for _, i := range r.Perm(len(c.entries)) {
+			c.rejoin(r, c.entries[i])
+		}
+	}
+	c.fakeWorkers.SetFaults(fakes.WorkerFaults{})
+	time.Sleep(time.Minute)
+	for _, v := range c.fakeWorkers.Check() {
+		t.Error(v)
+	}
+}
