lab/proof: Give links ports that the system does not give out

A link listened on a port that the system had chosen, closed it when it was cut and listened on it again when it healed; meanwhile the system may give the port to any outgoing connection. By reading; the moment itself was not caught.

The ports of links now lie below that range, and no two links of a process have the same.

--- a/internal/lab/proof/link.go
+++ b/internal/lab/proof/link.go
@@ -4,7 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"strings"
+	"sync"
+	"syscall"
 
 	toxiproxy "github.com/Shopify/toxiproxy"
 	"github.com/sirupsen/logrus"
@@ -21,14 +24,34 @@
 // Link is a proxy in front of one server.
 type Link struct{ proxy *toxiproxy.Proxy }
 
+// The ports of links are below those that the system gives to outgoing connections and to listeners without a port of
+// their own: a link does not listen while it is cut, and must find its port free when it heals.
+const (
+	firstLinkPort = 12000
+	linkPorts     = 8000
+)
+
+// linkPortsTaken are the ports of all links of this process.
+var linkPortsTaken sync.Map
+
 // NewLink starts a proxy on a free port.
 func NewLink(name, upstream string) (*Link, error) {
-	p := toxiproxy.NewProxy()
-	p.Name, p.Listen, p.Upstream = name, "127.0.0.1:0", upstream
-	if err := p.Start(); err != nil {
-		return nil, fmt.Errorf("proof: link %s: %w", name, err)
+	for range linkPorts {
+		port := firstLinkPort + rand.IntN(linkPorts)
+		if _, taken := linkPortsTaken.LoadOrStore(port, true); taken {
+			continue
+		}
+		p := toxiproxy.NewProxy()
+		p.Name, p.Listen, p.Upstream = name, fmt.Sprintf("127.0.0.1:%d", port), upstream
+		err := p.Start()
+		if err == nil {
+			return &Link{proxy: p}, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, fmt.Errorf("proof: link %s: %w", name, err)
+		}
 	}
-	return &Link{proxy: p}, nil
+	return nil, fmt.Errorf("proof: link %s: no free port", name)
 }
 
 // Address returns host and port of the proxy; they stay the same across Cut and Heal.
