sched/engine: Count a patient renewal as failed only after the leases' expiry

Until the leases had expired only renewals with the short time-out followed, so that a process that reads replies late gave up runs whose ends were listed in that time: the cause of the task that ran twice once more.

The failure counts now only if it is noticed after the expiry; before that the next renewal is patient as well. Renewals become patient 1 s before, so that one is outstanding at the expiry. A worker that can't be reached is given up at most 1.5 s later than before.

The script "silentearly" fails without the change: the second renewal is not patient. "unconfirmed", "crashlate" and "latereplies" let the patient renewal fail after the expiry; what they check is the same.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -28,8 +28,8 @@
 	unresponsiveBackoff    = 250 * time.Millisecond
 	maxUnresponsiveBackoff = time.Second
 	// patientLead is how long before the leases of an unresponsive worker expire its renewals become patient, so that one
-	// has failed when they do.
-	patientLead = 2 * time.Second
+	// is outstanding when they do.
+	patientLead = time.Second
 )
 
 // Renewal reads a worker's run lists and, if ExtendLease is set, extends the lease of all runs on it.
@@ -124,7 +124,8 @@
 		return
 	}
 	sc.markUnresponsive(w)
-	w.silent = w.silent || o.Patient
+	// An end may be listed until the last lease expires, so that an earlier failure says nothing.
+	w.silent = w.silent || o.Patient && !time.Now().Before(w.leaseExpiry())
 }
 
 // HandleRenewal applies the reply to a renewal that was sent at the given time.
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -49,7 +49,7 @@
 	unresponsiveSince time.Time
 	// failures counts the requests without a reply since the last reply.
 	failures int
-	// silent means that a patient renewal has got no reply since the last reply, see Renewal.Patient.
+	// silent means that a patient renewal has failed after the expiry of the worker's leases, see Renewal.Patient.
 	silent bool
 	// backoffUntil is until when the worker gets no tasks because it declined one.
 	backoffUntil time.Time
