sched/engine: Give up workers of a former leader only after a patient renewal

The cause of the task that ran twice, found by a review to act after a takeover as well, and traced with a script: a worker on which a former leader may have started tasks was dropped 8.9 s after the takeover, by the time alone. It has no known runs, so that its renewals never became patient. A new leader that is short of processor time reads its replies too late, starts the tasks elsewhere although the worker has listed their ends, and acknowledges them later.

Such a worker is now given up like any other: one by one, after the leases of the former leader have expired and a patient renewal has got no reply since. A worker that can't be reached holds up the restored jobs of its pool for at most 1.5 s more than before.

The script "inheritedlate" fails without the change.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -59,7 +59,7 @@
 	o := Renewal{Worker: id, Address: w.Address, AckedEnd: w.ackedEnd}
 	if !w.unresponsiveSince.IsZero() && (w.listed || len(w.runs) > 0 || sc.inherited[id] != nil) {
 		// No lease extension: if renewals of unknown outcome kept extending the lease, it would never be known to expire.
-		o.Patient = len(w.runs) > 0 && !w.silent && time.Until(w.leaseExpiry()) < patientLead
+		o.Patient = sc.mayRun(w) && !w.silent && time.Until(sc.leasesEnd(w)) < patientLead
 		if o.Patient {
 			return o, unresponsiveBackoff, true
 		}
@@ -125,7 +125,7 @@
 	}
 	sc.markUnresponsive(w)
 	// An end may be listed until the last lease expires, so that an earlier failure says nothing.
-	w.silent = w.silent || o.Patient && !time.Now().Before(w.leaseExpiry())
+	w.silent = w.silent || o.Patient && !time.Now().Before(sc.leasesEnd(w))
 }
 
 // HandleRenewal applies the reply to a renewal that was sent at the given time.
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -368,23 +368,36 @@
 	}
 }
 
-// isSilent reports whether the runs of an unresponsive worker may be given up once its leases have expired. They may have
-// ended before that, so while it has any, a patient renewal must have failed too: replies that this process did not read
-// in time may have said so.
-func (w *worker) isSilent() bool {
-	return !w.unresponsiveSince.IsZero() && w.inUse && (w.silent || len(w.runs) == 0)
+// leasesEnd returns when every lease of a worker has certainly expired, those of former leaders included.
+func (sc *Scheduler) leasesEnd(w *worker) time.Time {
+	if sc.inherited[w.ID] != nil {
+		return sc.inheritedUntil
+	}
+	return w.leaseExpiry()
+}
+
+// mayRun reports whether runs may exist on a worker, perhaps ones of a former leader.
+func (sc *Scheduler) mayRun(w *worker) bool { return len(w.runs) > 0 || sc.inherited[w.ID] != nil }
+
+// mayGiveUp reports whether the runs of an unresponsive worker may be given up: its leases have all expired. Its runs
+// may have ended before that, so while it may have any, a patient renewal must have failed too: replies that this process
+// did not read in time may have said so.
+func (sc *Scheduler) mayGiveUp(w *worker, now time.Time) bool {
+	return !w.unresponsiveSince.IsZero() && w.inUse && (w.silent || !sc.mayRun(w)) &&
+		sc.leasesExpired(sc.leasesEnd(w), now)
 }
 
 // expireLeases releases the runs of an unresponsive worker whose leases have all expired. The worker gets no tasks
 // until it has reported its run lists again.
 func (sc *Scheduler) expireLeases(w *worker, now time.Time) {
 	sc.log.Warn("engine: leases of an unresponsive worker have expired; releasing its runs",
-		zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)),
+		zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)), zap.Bool("prior", sc.inherited[w.ID] != nil),
 		zap.Duration("silent", now.Sub(w.unresponsiveSince)), zap.Int64("clock", w.clock),
 		zap.Int64("until", w.lastLeaseEnd))
 	sc.giveUpRuns(w, "leases expired")
 	sc.clearInUse(w)
 	w.confirmed = false
+	delete(sc.inherited, w.ID)
 }
 
 // clearInUse records that no task runs on a worker any more, and has the store's record that tasks may run there
@@ -403,7 +416,7 @@
 	sc.logStalls(now)
 	sc.failExceeded(now)
 	for id, w := range sc.workers {
-		if sc.inherited[id] == nil && w.isSilent() && sc.leasesExpired(w.leaseExpiry(), now) {
+		if sc.mayGiveUp(w, now) {
 			sc.expireLeases(w, now)
 		}
 		if !w.listed && len(w.runs) == 0 && !w.inUse && (w.ended || !w.unresponsiveSince.IsZero()) &&
@@ -411,13 +424,6 @@
 			delete(sc.workers, id)
 		}
 	}
-	if len(sc.inherited) > 0 && sc.leasesExpired(sc.inheritedUntil, now) {
-		sc.log.Info("engine: leases of former leaders have expired", zap.Int("workers", len(sc.inherited)))
-		for _, w := range sc.inherited {
-			sc.clearInUse(w)
-		}
-		sc.inherited = map[work.WorkerID]*worker{}
-	}
 	for id, j := range sc.jobs {
 		switch {
 		case j.state.Final():
