leader: Open a worker again when the operation on its machine has ended

Found by a review, traced with tests: a worker stays cordoned, and closed since, when its operation ends because its machine is missing from one list, when it comes back from its maintenance under its id, or when it was marked ended by mistake and is believed again. It then gets no task for the rest of the term. The other way round, a call of unknown outcome that was followed by one that the platform had no room for opened the worker, although the first may still be carried out.

The end of an operation opens the worker, a restart too, and a worker stays closed after a call of unknown outcome until the platform has declined the operation.

--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -144,6 +144,7 @@
 		sc.log.Warn("engine: worker is still listed after it was marked ended; using it again",
 			zap.String("worker", string(w.ID)), zap.Duration("after", time.Since(w.endedAt)))
 		w.ended, w.confirmed = false, false
+		w.cordoned, w.closed = false, false
 	}
 }
 
@@ -165,6 +166,7 @@
 	w.clock, w.lastLeaseEnd = 0, 0
 	w.clockReadAt = time.Time{}
 	w.largestCapacity = work.Need{}
+	w.cordoned, w.closed = false, false
 	delete(sc.inherited, w.ID)
 }
 
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -97,6 +97,8 @@
 	calling           bool
 	// retryAt is the end of the pause after a call with the result Unavailable or Unknown.
 	retryAt time.Time
+	// uncertain means that the result of a call was Unknown, so that the platform may still carry it out.
+	uncertain bool
 }
 
 // mover decides on the operations on machines and calls the platform for them. The session's mu guards its fields; all
@@ -209,7 +211,7 @@
 		back := ok && x.Up && !op.startedAt.IsZero() && !m.listedAt.Before(op.startedAt.Add(m.expectedDowntime(op)))
 		missing := !ok && !op.calling && m.listedAt.After(op.startedAt)
 		if back || missing {
-			delete(m.operations, name)
+			m.releaseOperation(op)
 		}
 	}
 }
@@ -297,10 +299,11 @@
 		m.busyUntil[op.machine] = time.Now().Add(busyBackoff)
 		m.releaseOperation(op)
 	case Unavailable, Unknown:
-		// The call is repeated. The worker stays cordoned meanwhile, and after Unknown also closed, because the platform
-		// may still carry the call out.
+		// The call is repeated. The worker stays cordoned meanwhile, and also closed while the platform may still carry a
+		// call out.
 		op.retryAt = time.Now().Add(busyBackoff)
-		s.scheduler.Close(work.WorkerID(op.worker), result == Unknown)
+		op.uncertain = op.uncertain || result == Unknown
+		s.scheduler.Close(work.WorkerID(op.worker), op.uncertain)
 	case Refused, Fenced:
 		if op.pool != "" {
 			m.refusedPools[op.machine] = append(m.refusedPools[op.machine], op.pool)
--- a/internal/serve/leader/moves_test.go
+++ b/internal/serve/leader/moves_test.go
@@ -117,7 +117,40 @@
 		expect("during the call", 0)
 		m.handleResult(op, Unknown)
 		expect("while the platform may carry the call out", 0)
+		m.handleResult(op, Unavailable)
+		expect("while the platform may carry out an earlier call", 0)
 		m.handleResult(op, Busy)
 		expect("after the platform has declined", 1)
 	})
 }
+
+// Guards against a worker that gets no tasks any more because its machine was missing from one list: the operation ended
+// and nothing opened the worker again.
+func TestWorkerOpensWhenOperationEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := engine.New(engine.DefaultOptions(), 1, nil)
+		scheduler.Configure(work.NewConfig(work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}}))
+		scheduler.SetWorkers([]work.Worker{{ID: "w", Pool: "p", Capacity: work.Need{CPU: 1000}, Incarnation: 1}})
+		scheduler.HandleRenewal(engine.Renewal{Worker: "w"}, work.RenewalReply{Incarnation: 1}, time.Now())
+		if _, err := scheduler.Submit(work.Job{ID: "0123456789abcdef", Queue: "q",
+			Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 100}}}}); err != nil {
+			t.Fatal(err)
+		}
+		b, err := scheduler.Batch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		scheduler.HandleCommit(b)
+		op := &operation{machine: "m", worker: "w", wave: 1}
+		m := &mover{session: &session{log: zap.NewNop(), scheduler: scheduler, service: &Service{}},
+			busyUntil: map[string]time.Time{}, operations: map[string]*operation{"m": op}}
+		m.dueOperations()
+		m.handleResult(op, Unknown)
+		time.Sleep(time.Second)
+		m.machines, m.listedAt = map[string]Machine{}, time.Now()
+		m.finishOperations()
+		if c := scheduler.Commands(); len(m.operations) != 0 || len(c) != 1 {
+			t.Errorf("%d operations, %d starts", len(m.operations), len(c))
+		}
+	})
+}
