sched/engine: Count a run as active from the sending of renewals

A worker that replies 5 ms after a start and crashes 10 ms after it was not counted against the task if the leader read that reply 200 ms later, and the task was started again without a limit. It is the class of the former leader's heartbeats: a message counts as of its arrival.

What counts now is the time from when the start was known to the sending of the last renewal whose reply listed the run.

TestReplyReadLateDoesNotClearSuspicion failed before: 7 starts, one for each worker.

--- a/internal/sched/engine/crash.go
+++ b/internal/sched/engine/crash.go
@@ -83,8 +83,9 @@
 	return &s.tasks[index]
 }
 
-// confirmedFor returns how long a run is known to have been active: until its worker's last reply.
-func (r *run) confirmedFor() time.Duration { return max(0, r.worker.clockReadAt.Sub(r.startedAt)) }
+// confirmedFor returns how long a run is known to have been active: from when this process knew of its start to the
+// sending of the last renewal whose reply listed it. When a reply is read says little: that may be late.
+func (r *run) confirmedFor() time.Duration { return max(0, r.listedAt.Sub(r.phaseSince)) }
 
 // isPlannedEnd reports whether the end of a worker may follow from an announcement. That it is cordoned does not count:
 // the machine of a worker with runs is not taken away.
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -118,6 +118,8 @@
 	need, charge work.Need
 	// startedAt is when the start was issued or the run adopted; phaseSince is when its phase was last set.
 	startedAt, phaseSince time.Time
+	// listedAt is when the last renewal was sent whose reply listed the run as active.
+	listedAt time.Time
 	// stopRequested means that the run is to end. stopSentAt and stopAppliedAt are the times of the last stop command and
 	// of its confirmation.
 	stopRequested             bool
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -184,6 +184,7 @@
 			r.phaseSince = time.Now()
 		}
 		sc.keepStartedRun(r)
+		r.listedAt = sent
 		r.checkpoint = a.Checkpoint
 		r.speed, r.loadSignal = a.Percent, a.LoadSignal
 		sc.observeLatency(r)
