leader: Move machines for as long as nobody can have taken over

Cause: machines were moved only within 1 s of the sending of a confirmed transaction. Ruled out: the list of machines (read in time), the planner (it asked for 16 machines).

Change: the bound is 1.4 s, less than the 1.5 s after which others take over; from a leader whom the store refuses they take over sooner, so it moves nothing.

Measured: TestMachinesMoveWhileStoreIsSlow 1.75 to 2.5 s before, within 1.19 s after.

--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -11,6 +11,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/plan/shift"
+	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/state/rules"
 )
 
@@ -67,9 +68,9 @@
 const (
 	// moveInterval is the time between two passes of the mover.
 	moveInterval = 200 * time.Millisecond
-	// moveMaxAge is how old the store's last confirmation of leadership may be when a machine is moved or maintained. A
-	// later leader must find the records of the workers of such machines deleted, or it waits for their leases to expire.
-	moveMaxAge = time.Second
+	// moveMaxAge is how old the store's last confirmation of leadership may be when a machine is moved or maintained.
+	// Until then nobody has taken over from a leader whom the store does not refuse.
+	moveMaxAge = elect.DefaultTakeoverTimeout - 100*time.Millisecond
 	// listIntervalLeases, listIntervalBusy and listIntervalIdle are the times between two lists of machines: while tasks
 	// wait for the leases of workers that may have ended, while operations are in progress, also those of a former leader,
 	// or no machine is known, and otherwise.
@@ -132,10 +133,17 @@
 	pace.Every(ctx, moveInterval, nil, m.pass)
 }
 
+// mayCallMachines reports whether machines may be moved or maintained now: no other instance can have taken over. Others take
+// over sooner from a leader whom the store refuses.
+func (s *session) mayCallMachines() bool {
+	l := s.leadership
+	return !l.Lost() && l.SinceConfirmed() <= moveMaxAge && l.StoreRefusedFor() == 0
+}
+
 func (m *mover) pass(ctx context.Context) {
 	s := m.session
 	m.refreshMachines(ctx)
-	if s.leadership.Lost() || s.leadership.SinceConfirmed() > moveMaxAge {
+	if !s.mayCallMachines() {
 		return
 	}
 	current, _ := s.service.Rules.Current()
@@ -263,7 +271,7 @@
 		s.machineCalls++
 	}
 	s.mu.Unlock()
-	if leaving || s.leadership.Lost() || s.leadership.SinceConfirmed() > moveMaxAge {
+	if leaving || !s.mayCallMachines() {
 		// The process may have been paused since the decision, and another may lead by now.
 		result = Unavailable
 	} else if op.wave != 0 {
