leader: Record machine operations in the store before they start

Cause: after a takeover no machine without a worker moved for 3.5 s, since the former leader might just have acted on it. Ruled out: the planner (it planned 37 moves at once and asked for 11 million thousandths of a core), the list of machines.

Change: a leader stores the machines of its operations (move/N, with the store's time) before it calls the platform, and the next one leaves only those alone that were recorded less than 5.5 s before, by the store's clock. While transactions take 0.3 s or more, operations don't wait, and the leader record says so; so does that of a leader of an earlier build.

--- a/internal/lab/fakes/table.go
+++ b/internal/lab/fakes/table.go
@@ -17,16 +17,24 @@
 	mu      sync.Mutex
 	items   map[string]table.Item
 	version uint64
+	// epoch is the origin of the table's clock.
+	epoch time.Time
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{items: map[string]table.Item{}} }
+func NewTable() *Table { return &Table{items: map[string]table.Item{}, epoch: time.Now()} }
+
+// Now implements table.Clock.
+func (t *Table) Now() (earliest, latest time.Duration, ok bool) {
+	now := time.Since(t.epoch) + time.Millisecond
+	return now, now, true
+}
 
 // Clone returns an independent copy of the table.
 func (t *Table) Clone() *Table {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &Table{items: maps.Clone(t.items), version: t.version}
+	return &Table{items: maps.Clone(t.items), version: t.version, epoch: t.epoch}
 }
 
 // Commits returns the number of transactions that took effect.
--- a/internal/plat/table/table.go
+++ b/internal/plat/table/table.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of the table service. Any other error means that the request itself is invalid.
@@ -53,6 +54,12 @@
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Item, error)
 }
 
+// Clock is the steady clock of the table service, the same for all its clients.
+type Clock interface {
+	// Now returns bounds of the time that the clock shows now, or false while it is not known.
+	Now() (earliest, latest time.Duration, ok bool)
+}
+
 // Table reads and writes the table.
 type Table interface {
 	Reader
--- a/internal/serve/leader/history_test.go
+++ b/internal/serve/leader/history_test.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop, e.done = cancel, make(chan struct{})
 	c.processes++
-	o := leader.Options{Store: e.link, Workers: e.workers, Fleet: c.fakeWorkers, Rules: c.rules,
+	o := leader.Options{Store: e.link, Clock: c.store, Workers: e.workers, Fleet: c.fakeWorkers, Rules: c.rules,
 		Scheduler: engine.DefaultOptions(), ElectionDelay: e.electionDelay, Log: zap.NewNop(),
 		OfferLeadership: func(_ context.Context, address string, delay time.Duration) (bool, error) {
 			return c.offer(e.name, address, delay), nil
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -43,7 +43,9 @@
 
 // Options are the dependencies and settings of a Service.
 type Options struct {
-	Store   table.Table
+	Store table.Table
+	// Clock is the store's.
+	Clock   table.Clock
 	Workers Workers
 	Fleet   Fleet
 	Rules   Rules
@@ -107,6 +109,7 @@
 	ss := newSession(s, l)
 	ss.scheduler.Restore(items)
 	ss.restoreWaves(items)
+	ss.operations.restore(items)
 	ss.applyRules()
 	s.Log.Info("leader: stored state loaded", zap.Int("rows", len(items)), zap.Duration("took", time.Since(began)),
 		zap.Int64("term", l.Term()))
@@ -124,7 +127,7 @@
 // unavailable, until loadTimeout.
 func (s *Service) load(ctx context.Context, l *elect.Leadership) ([]table.Item, error) {
 	var items []table.Item
-	for _, prefix := range []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, prefixWave} {
+	for _, prefix := range []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, prefixWave, prefixOperation} {
 		after := ""
 		for {
 			page, err := s.Store.Scan(ctx, prefix, after, scanPageSize)
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -56,7 +56,7 @@
 
 // MoveOptions bound the operations on machines.
 type MoveOptions struct {
-	// TakeoverPause is how long a new leader starts no operations on machines on which the former leader may just have
+	// TakeoverPause is how long a new leader starts no operations on machines on which a former leader may just have
 	// acted, so that two leaders don't act on the same machine in turn.
 	TakeoverPause time.Duration
 	// Move and Maintenance are how long a machine is down for each operation.
@@ -265,8 +265,9 @@
 func (m *mover) call(ctx context.Context, op *operation) {
 	s := m.session
 	var result Result
+	recorded := s.recordOperation(ctx, op.machine)
 	s.mu.Lock()
-	leaving := s.steppingDown || s.handingOver
+	leaving := s.steppingDown || s.handingOver || !recorded
 	if !leaving {
 		s.machineCalls++
 	}
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -37,8 +37,8 @@
 	leadership *elect.Leadership
 	log        *zap.Logger
 
-	// mu guards scheduler, renewals, committed, steppingDown, handingOver, machineCalls, waves
-	// and changedWaves.
+	// mu guards scheduler, renewals, committed, steppingDown, handingOver, machineCalls, waves, changedWaves and
+	// operations.
 	mu        sync.Mutex
 	scheduler *engine.Scheduler
 	// renewals are the wake channels of the renewal loops, one for each tracked worker.
@@ -55,6 +55,7 @@
 	waves        map[int64]*waveState
 	// changedWaves are the numbers of the waves whose progress is to be stored.
 	changedWaves map[int64]bool
+	operations   *operationLog
 	// transactions is used by the commit loop only.
 	transactions txLog
 
@@ -72,7 +73,8 @@
 		service: s, leadership: l, log: s.Log, scheduler: engine.New(s.Options.Scheduler, l.Term(), s.Log),
 		renewals: map[work.WorkerID]chan struct{}{}, committed: make(chan struct{}),
 		waves: map[int64]*waveState{}, changedWaves: map[int64]bool{},
-		planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
+		operations: newOperationLog(s.Clock, s.Moves.TakeoverPause+operationTTL, s.Log),
+		planWake:   make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 		done: make(chan struct{}), transactions: txLog{log: s.Log},
 	}
 }
@@ -227,7 +229,7 @@
 	defer confirm.Stop()
 	for {
 		s.mu.Lock()
-		dirty := s.scheduler.Dirty() || len(s.changedWaves) > 0
+		dirty := s.scheduler.Dirty() || len(s.changedWaves) > 0 || len(s.operations.pending) > 0
 		s.mu.Unlock()
 		if dirty {
 			return
@@ -246,6 +248,7 @@
 	s.mu.Lock()
 	batch, err := s.scheduler.Batch()
 	batch.Writes = append(batch.Writes, s.takeWaveWrites()...)
+	batch.Writes = append(batch.Writes, s.operations.takeWrites()...)
 	s.mu.Unlock()
 	if err != nil {
 		return err
@@ -256,11 +259,13 @@
 		if err != nil {
 			return err
 		}
+		s.observeCommit(time.Since(began))
 		s.service.observe("store_commit_ms", began)
 		s.transactions.record(batch, began, queued)
 	}
 	s.mu.Lock()
 	s.scheduler.HandleCommit(batch)
+	s.operations.confirm()
 	for _, id := range batch.Acknowledged() {
 		if c, ok := s.renewals[id]; ok {
 			wake(c)
@@ -276,11 +281,17 @@
 // awaitWritten waits until the store holds a version of a job; it returns false if the session or the context ends
 // first.
 func (s *session) awaitWritten(ctx context.Context, id work.JobID, version int) bool {
+	return s.awaitCommit(ctx, func() bool { return s.scheduler.IsStored(id, version) })
+}
+
+// awaitCommit waits for a commit after which a condition holds, which is checked with mu held; it returns false if the
+// session or the context ends first.
+func (s *session) awaitCommit(ctx context.Context, isStored func() bool) bool {
 	for {
 		s.mu.Lock()
-		written, committed := s.scheduler.IsStored(id, version), s.committed
+		stored, committed := isStored(), s.committed
 		s.mu.Unlock()
-		if written {
+		if stored {
 			return true
 		}
 		select {
--- a/internal/serve/leader/slowstore_test.go
+++ b/internal/serve/leader/slowstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,14 +15,25 @@
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
 )
 
-// spareMachines are the cluster's workers and machines that are off, which all can be moved.
+// moveTime is how long a machine is down for a move.
+const moveTime = 1500 * time.Millisecond
+
+// spareMachines are the machines of the cluster's workers, which can't be moved, and machines that are off.
 type spareMachines struct {
 	leader.Machines
 	workers []work.Worker
 	off     int
 
-	mu    sync.Mutex
-	moved map[string]time.Time
+	mu sync.Mutex
+	// lost means that calls take no effect and their outcomes are unknown.
+	lost bool
+	// moved is when each machine was first moved, changed when it was last moved, pools its pool since then.
+	moved, changed map[string]time.Time
+	pools          map[string]string
+}
+
+func newSpareMachines(off int) *spareMachines {
+	return &spareMachines{off: off, moved: map[string]time.Time{}, changed: map[string]time.Time{}, pools: map[string]string{}}
 }
 
 // List implements leader.Machines.
@@ -31,20 +43,34 @@
 		list = append(list, leader.Machine{Name: "m-" + string(w.ID), Pool: w.Pool, Zone: w.Zone, Up: true,
 			Worker: string(w.ID), Capacity: w.Capacity})
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for i := range m.off {
-		list = append(list, leader.Machine{Name: fmt.Sprintf("off-%d", i), Pool: "spare", Up: true,
-			Capacity: work.Need{CPU: 4000, Memory: 4000}})
+		name := fmt.Sprintf("off-%d", i)
+		x := leader.Machine{Name: name, Pool: "spare", Up: time.Since(m.changed[name]) >= moveTime,
+			Capacity: work.Need{CPU: 4000, Memory: 4000}}
+		if p, ok := m.pools[name]; ok {
+			x.Pool = p
+		}
+		list = append(list, x)
 	}
 	return list, nil
 }
 
 // Move implements leader.Machines.
-func (m *spareMachines) Move(_ context.Context, machine, _ string, _ int64) leader.Result {
+func (m *spareMachines) Move(_ context.Context, machine, pool string, _ int64) leader.Result {
+	if !strings.HasPrefix(machine, "off-") {
+		return leader.Refused
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.moved[machine].IsZero() {
 		m.moved[machine] = time.Now()
 	}
+	if m.lost {
+		return leader.Unknown
+	}
+	m.changed[machine], m.pools[machine] = time.Now(), pool
 	return leader.Started
 }
 
@@ -53,10 +79,10 @@
 // almost used up when the store confirms it.
 func TestMachinesMoveWhileStoreIsSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := &spareMachines{off: 4, moved: map[string]time.Time{}}
+		m := newSpareMachines(1000)
 		c := newClusterOf(t, 1, 1, func(o *leader.Options) {
 			m.workers = o.Fleet.(*fakes.Workers).List()
-			o.Machines, o.Moves = m, leader.MoveOptions{Shift: shift.Default()}
+			o.Machines, o.Moves = m, leader.MoveOptions{Shift: shift.Default(), Move: moveTime}
 		})
 		c.rules.Configure(work.NewConfig(work.Config{Version: 2,
 			Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}},
@@ -78,7 +104,7 @@
 			}
 		})
 		var worst time.Duration
-		for turn := range 8 {
+		for turn := range 6 {
 			time.Sleep(3*time.Second + time.Duration(turn)*130*time.Millisecond)
 			m.mu.Lock()
 			clear(m.moved)
@@ -86,7 +112,7 @@
 			began := time.Now()
 			callers.Go(func() {
 				c.submit(ctx, work.Job{ID: work.JobID(fmt.Sprintf("%016x", 1<<32+turn)), Queue: "q", Customer: "c",
-					Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 40, Need: work.Need{CPU: 1000}}}})
+					Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 40 << turn, Need: work.Need{CPU: 1000}}}})
 			})
 			for len(m.moved) == 0 && time.Since(began) < 10*time.Second {
 				time.Sleep(10 * time.Millisecond)
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -158,12 +158,15 @@
 const clockSkewMargin = 2 * time.Second
 
 // mayOperate reports whether operations on a machine may start. During the takeover pause a new leader excludes the
-// machines on which the former leader may just have acted: all but those whose worker is known to have started long
-// enough before the takeover. The first term has no former leader.
+// machines on which a former leader may just have acted: those in the log of operations or, if the former leader did not
+// keep it, all but those whose worker is known to have started long enough before the takeover.
 func (m *mover) mayOperate(x Machine) bool {
 	takeoverPause := m.session.service.Moves.TakeoverPause
-	if m.session.leadership.Term() == 1 || time.Since(m.startedAt) >= takeoverPause {
+	switch {
+	case time.Since(m.startedAt) >= takeoverPause:
 		return true
+	case m.session.leadership.FormerLogged():
+		return m.session.operations.restedFor(x.Name, takeoverPause+maxCallDelay)
 	}
 	incarnation := m.session.scheduler.Incarnation(work.WorkerID(x.Worker))
 	return incarnation > 0 &&
--- a/internal/state/elect/leader_record.go
+++ b/internal/state/elect/leader_record.go
@@ -31,6 +31,9 @@
 	Sequence int64 `json:"count"`
 	// Released means that the leader has released leadership.
 	Released bool `json:"open,omitempty"`
+	// Logged means that the store has a record of every machine operation that this leader, and former ones shortly
+	// before it, were about to start.
+	Logged bool `json:"logged,omitempty"`
 }
 
 // Validate checks a leader record after decoding.
--- a/internal/state/elect/leadership.go
+++ b/internal/state/elect/leadership.go
@@ -41,6 +41,12 @@
 	// in nanoseconds since epoch; 0 means that it has not.
 	refusedSince atomic.Int64
 	lost         atomic.Bool
+	// logged is the value of Logged in the leader records that this process writes, formerLogged that in the record of
+	// its predecessor; without a predecessor both are true.
+	logged       atomic.Bool
+	formerLogged bool
+	// storedLogged is the value of Logged in the last confirmed record.
+	storedLogged atomic.Bool
 	epoch        time.Time
 }
 
@@ -48,15 +54,19 @@
 // there was no record.
 func Acquire(ctx context.Context, store table.Table, self Identity, last table.Item) (*Leadership, error) {
 	var term int64
+	logged := true
 	if last.Version != 0 {
 		old, err := decode(last)
 		if err != nil {
 			return nil, err
 		}
-		term = old.Term
+		term, logged = old.Term, old.Logged
 	}
 	l := &Leadership{store: store, epoch: time.Now(), term: term + 1, writing: make(chan struct{}, 1),
-		record: LeaderRecord{Name: self.Name, Boot: self.Boot, Address: self.Address, Term: term + 1}, version: last.Version}
+		record:  LeaderRecord{Name: self.Name, Boot: self.Boot, Address: self.Address, Term: term + 1, Logged: logged},
+		version: last.Version, formerLogged: logged}
+	l.logged.Store(logged)
+	l.storedLogged.Store(logged)
 	value, err := encode(l.record)
 	if err != nil {
 		return nil, err
@@ -101,6 +111,17 @@
 // MarkLost records that another instance is known to lead in a later term.
 func (l *Leadership) MarkLost() { l.lost.Store(true) }
 
+// FormerLogged reports whether the store has a record of the machine operations of former leaders.
+func (l *Leadership) FormerLogged() bool { return l.formerLogged }
+
+// SetLogged states in the leader record, from the next transaction on, whether the store has a record of all machine
+// operations that can still matter.
+func (l *Leadership) SetLogged(on bool) { l.logged.Store(on) }
+
+// StatesUnlogged reports whether the leader record in the store states, and will state until SetLogged, that machine
+// operations may have no record.
+func (l *Leadership) StatesUnlogged() bool { return !l.logged.Load() && !l.storedLogged.Load() }
+
 // Commit writes rows as the leader and confirms leadership; it repeats the transaction until its outcome is known. It
 // returns how long the transaction waited for others of this leader, and ErrLost if leadership is lost or released, the
 // context's error if that ends first, and the store's error if the transaction is invalid.
@@ -144,6 +165,7 @@
 	next := l.record
 	next.Sequence++
 	next.Released = release
+	next.Logged = l.logged.Load()
 	value, err := encode(next)
 	if err != nil {
 		return err
@@ -164,6 +186,7 @@
 		}
 		if err == nil {
 			l.record, l.version = next, version
+			l.storedLogged.Store(next.Logged)
 			l.confirmedAt.Store(int64(sent.Sub(l.epoch)))
 			l.refusedSince.Store(0)
 			return nil
