--- a/internal/wire/peer/fuzz_test.go
+++ b/internal/wire/peer/fuzz_test.go
@@ -15,6 +15,10 @@
 		&NotifyGrantsRequest{From: "a.1", Teams: []fleet.TeamName{"t"}}, &NotifyGrantsReply{},
 		&PollRequest{From: "a.1", Pool: "p"}, &PollReply{}, &TaskRequest{From: "a.1", Team: "t", Task: "x"}, &TaskReply{},
 		&StatusRequest{From: "a.1"}, &StatusReply{From: "a.1"},
+		&RelayOrders{Term: 1, Specs: []string{"s"}, Starts: []StartOrder{{Target: OrderTarget{ID: 1, Worker: "w", Address: "a"}}},
+			Renewals: []RenewalOrder{{Target: OrderTarget{ID: 2, Worker: "w", Address: "a"}, Wait: 1}}},
+		&RelayReport{Outcomes: []OrderOutcome{{ID: 1, Outcome: CodeApplied}},
+			Renewals: []RenewalReport{{ID: 2, Active: []ActiveRun{{Run: RunName{Job: "j"}}}, Ended: []EndedRun{{Number: 1, How: "done"}}}}},
 	}
 }
 
