serve/relay: Send the leader's orders to workers through other instances

The leader opens a stream to each relay and sends orders and gets outcomes in batches; every batch carries term, fencing token and the time until which its orders may leave the relay. RelayLost says nothing about a worker; a worker that does not reply to its relay is asked by the leader itself before it counts as unresponsive. One loop with a heap replaces the renewal loop of each worker; results are applied in batches.

TestRelayHistories (relays killed, cut off one way or both, from workers, leader or store, orders held up) found two faults before this commit: orders of a relay that was replaced stayed without an outcome, and a relay that received nothing but reported went on to count as up. With the check of the time switched off TestHeldUpOrdersAreWithheld and TestOrdersWithoutAuthorityAreWithheld fail, without the check of the term TestOrdersOfFormerTermAreWithheld.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -72,13 +72,32 @@
 	TicketRequired
 	// Invalid: the worker rejects the command as malformed.
 	Invalid
-	// Withheld: this process had no authority to send the command any more; no byte left it.
+	// Withheld: this process or a relay had no authority to send the command any more; no byte left it.
 	Withheld
+	// RelayLost: the relay that had the command failed before it reported the outcome. The worker may have executed the
+	// command; that says nothing about the worker.
+	RelayLost
+	// RelayNotSent and RelayNoReply: the relay could not send the command or got no conclusive reply. The worker may be
+	// reachable from here.
+	RelayNotSent
+	RelayNoReply
 )
 
+// Relayed returns the outcome as the leader sees it if a relay had it.
+func (o Outcome) Relayed() Outcome {
+	switch o {
+	case NotSent:
+		return RelayNotSent
+	case NoReply:
+		return RelayNoReply
+	default:
+		return o
+	}
+}
+
 // outcomeNames are the names of the outcomes in logs and in a label of the metrics.
 var outcomeNames = [...]string{"carried out", "not sent", "no reply", "unhealthy", "full", "outdated", "overdue",
-	"fenced", "replaced", "no ticket", "invalid", "withheld"}
+	"fenced", "replaced", "no ticket", "invalid", "withheld", "relay lost", "not sent by relay", "no reply to relay"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -116,6 +135,9 @@
 	}
 	now := time.Now()
 	r.phaseSince = now
+	if result != Applied {
+		sc.touch(w)
+	}
 	if r.repeated {
 		sc.handleRepeatOutcome(r, result)
 		return
@@ -130,6 +152,14 @@
 	case NotSent:
 		sc.releaseRun(r)
 		sc.markUnresponsive(w)
+	case RelayNoReply:
+		r.phase = startUnknown
+		sc.doubt(w)
+	case RelayNotSent:
+		sc.releaseRun(r)
+		sc.doubt(w)
+	case RelayLost:
+		r.phase = startUnknown
 	case Unhealthy:
 		w.backoffUntil = now.Add(unhealthyBackoff)
 		sc.releaseRun(r)
@@ -167,6 +197,8 @@
 		sc.markCrashed(w, "another worker answers at its address")
 	case NotSent, NoReply:
 		sc.markUnresponsive(w)
+	case RelayNotSent, RelayNoReply:
+		sc.doubt(w)
 	default:
 	}
 }
@@ -191,6 +223,7 @@
 	}
 	r.stopRequested = true
 	r.stopReason = why
+	sc.touch(r.worker)
 	sc.log.Info("engine: stopping run", zap.Stringer("task", r.key.Task), zap.Int64("run", r.key.Number),
 		zap.String("worker", string(r.worker.ID)), zap.String("why", why))
 	sc.stopping[r.key] = r
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -96,6 +96,8 @@
 	exceeded []candidate
 	// held are the workers that are kept free for suspects.
 	held []*worker
+	// touched are the workers whose next renewal may have changed.
+	touched []*worker
 }
 
 // pool holds the steps that wait for workers of a pool.
--- a/internal/sched/engine/latency.go
+++ b/internal/sched/engine/latency.go
@@ -43,7 +43,7 @@
 func (sc *Scheduler) throttleCommands(now time.Time) []Command {
 	var commands []Command
 	for _, w := range sc.workers {
-		if !w.unresponsiveSince.IsZero() {
+		if !w.responsive() {
 			continue
 		}
 		harmed, recovered := false, true
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -449,6 +449,9 @@
 	}
 	t.runs = append(t.runs, r)
 	sc.pending.issued[r.key] = now
+	if len(w.runs) == 0 {
+		sc.touch(w)
+	}
 	s.waiting--
 	w.runs[r.key] = r
 	w.reserved = w.reserved.Plus(r.need)
--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -318,6 +318,7 @@
 	for id, n := range c.ackedEnds {
 		if w, ok := sc.workers[id]; ok && w.Incarnation == c.incarnations[id] {
 			w.ackedEnd = max(w.ackedEnd, n)
+			sc.touch(w)
 			w.unackedEnds = slices.DeleteFunc(w.unackedEnds, func(u unackedEnd) bool { return u.number <= n })
 		}
 	}
@@ -393,6 +394,7 @@
 		runs: map[work.RunKey]*run{}, inUse: true, inUseStored: true}
 	sc.workers[id] = w
 	sc.inherited[id] = w
+	sc.touch(w)
 }
 
 // restoreProgress rebuilds the open rounds of a job from its stored progress.
@@ -435,12 +437,3 @@
 		}
 	}
 }
-
-// Acknowledged returns the workers whose ended runs may be acknowledged once the batch is committed.
-func (c Batch) Acknowledged() []work.WorkerID {
-	ids := make([]work.WorkerID, 0, len(c.ackedEnds))
-	for id := range c.ackedEnds {
-		ids = append(ids, id)
-	}
-	return ids
-}
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -47,6 +47,8 @@
 	// Patient means that tasks will start elsewhere if there is no reply: it is worth a new connection and a long
 	// time-out.
 	Patient bool
+	// Direct renewals are sent by this process even if the worker has a relay.
+	Direct bool
 }
 
 // NextRenewal returns the next renewal of a worker and how long after the end of the previous one it is due, or false
@@ -59,12 +61,17 @@
 	o := Renewal{Worker: id, Address: w.Address, AckedEnd: w.ackedEnd}
 	if !w.unresponsiveSince.IsZero() && (w.listed || len(w.runs) > 0 || sc.inherited[id] != nil) {
 		// No lease extension: if renewals of unknown outcome kept extending the lease, it would never be known to expire.
+		o.Direct = true
 		o.Patient = sc.mayRun(w) && !w.silent && time.Until(sc.leasesEnd(w)) < patientLead
 		if o.Patient {
 			return o, unresponsiveBackoff, true
 		}
 		return o, min(unresponsiveBackoff*time.Duration(w.failures), maxUnresponsiveBackoff), true
 	}
+	if !w.doubtedSince.IsZero() {
+		o.Direct = true
+		return o, 0, true
+	}
 	if !w.confirmed {
 		return o, 0, w.listed || sc.inherited[id] != nil
 	}
@@ -112,18 +119,26 @@
 	return until
 }
 
-// HandleRenewalFailure records a renewal that was not applied: Replaced means that the worker has ended, any other
-// result counts as no reply.
+// HandleRenewalFailure records a renewal that was not applied: Replaced means that the worker has ended, RelayLost and
+// Withheld say nothing about it, any other result counts as no reply.
 func (sc *Scheduler) HandleRenewalFailure(o Renewal, result Outcome) {
 	w, ok := sc.workers[o.Worker]
 	if !ok {
 		return
 	}
-	if result == Replaced {
+	switch result {
+	case Replaced:
 		sc.markCrashed(w, "another worker answers at its address")
 		return
+	case RelayLost, Withheld:
+		return
+	case RelayNoReply, RelayNotSent:
+		sc.doubt(w)
+		return
+	default:
 	}
 	sc.markUnresponsive(w)
+	w.doubtedSince = time.Time{}
 	// An end may be listed until the last lease expires, so that an earlier failure says nothing.
 	w.silent = w.silent || o.Patient && !time.Now().Before(sc.leasesEnd(w))
 }
@@ -149,7 +164,7 @@
 			zap.Duration("after", time.Since(w.unresponsiveSince)))
 	}
 	w.clock, w.clockReadAt = reply.Clock, time.Now()
-	w.unresponsiveSince = time.Time{}
+	w.unresponsiveSince, w.doubtedSince = time.Time{}, time.Time{}
 	w.failures = 0
 	w.silent = false
 	w.ackDelivered = max(w.ackDelivered, o.AckedEnd)
--- a/internal/sched/engine/unknown.go
+++ b/internal/sched/engine/unknown.go
@@ -27,7 +27,7 @@
 	var commands []Command
 	for _, r := range sc.repeats {
 		w := r.worker
-		if w.runs[r.key] != r || r.phase != startUnknown || r.stopRequested || !w.unresponsiveSince.IsZero() ||
+		if w.runs[r.key] != r || r.phase != startUnknown || r.stopRequested || !w.responsive() ||
 			now.Before(w.backoffUntil) {
 			// The next list of the worker decides again.
 			continue
@@ -77,6 +77,9 @@
 		w.failures = 0
 	case NoReply, NotSent:
 		sc.markUnresponsive(w)
+	case RelayNoReply, RelayNotSent:
+		sc.doubt(w)
+	case RelayLost:
 	case Outdated:
 		// The worker will not run it again, as after a stop. The next list may still show how it ended.
 		sc.requestStop(r, reasonStartUnknown)
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -47,6 +47,9 @@
 	ackDelivered int64
 	// unresponsiveSince is since when the worker has not replied; zero while it does.
 	unresponsiveSince time.Time
+	// doubtedSince is since when a relay gets no reply from the worker while it is not known whether this process does;
+	// zero if it is not so.
+	doubtedSince time.Time
 	// failures counts the requests without a reply since the last reply.
 	failures int
 	// silent means that a patient renewal has failed after the expiry of the worker's leases, see Renewal.Patient.
@@ -69,6 +72,8 @@
 	// held means that the worker gets no other tasks until heldUntil because a suspect waits for it.
 	held      bool
 	heldUntil time.Time
+	// touched means that the worker is in the scheduler's list of touched ones.
+	touched bool
 }
 
 // noCapacity is the free capacity of a worker that fits no task.
@@ -118,6 +123,7 @@
 		w = &worker{Worker: l, listed: true, describedIncarnation: l.Incarnation, largestCapacity: l.Capacity,
 			runs: map[work.RunKey]*run{}}
 		sc.workers[l.ID] = w
+		sc.touch(w)
 		sc.log.Info("engine: worker added", zap.String("worker", string(l.ID)), zap.String("pool", l.Pool),
 			zap.String("zone", l.Zone), zap.String("address", l.Address))
 		return
@@ -133,6 +139,9 @@
 		sc.log.Info("engine: capacity of worker changed", zap.String("worker", string(l.ID)), zap.Any("from", w.Capacity),
 			zap.Any("to", l.Capacity), zap.Any("reserved", w.reserved), zap.Int("runs", len(w.runs)))
 	}
+	if !w.listed {
+		sc.touch(w)
+	}
 	incarnation := max(w.Incarnation, l.Incarnation)
 	w.Worker = l
 	w.Incarnation = incarnation
@@ -145,9 +154,30 @@
 			zap.String("worker", string(w.ID)), zap.Duration("after", time.Since(w.endedAt)))
 		w.ended, w.confirmed = false, false
 		w.cordoned, w.closed = false, false
+		sc.touch(w)
+	}
+}
+
+// touch records that the next renewal of a worker may have changed.
+func (sc *Scheduler) touch(w *worker) {
+	if !w.touched {
+		w.touched = true
+		sc.touched = append(sc.touched, w)
 	}
 }
 
+// TakeTouched returns the workers whose next renewal may have changed since the last call, other than by the outcome of a
+// renewal.
+func (sc *Scheduler) TakeTouched() []work.WorkerID {
+	ids := make([]work.WorkerID, 0, len(sc.touched))
+	for _, w := range sc.touched {
+		w.touched = false
+		ids = append(ids, w.ID)
+	}
+	sc.touched = sc.touched[:0]
+	return ids
+}
+
 // endedTTL is how long the platform may go on listing a worker that has ended; one that it lists for longer was marked
 // ended by mistake.
 const endedTTL = 6 * time.Second
@@ -168,6 +198,7 @@
 	w.largestCapacity = work.Need{}
 	w.cordoned, w.closed = false, false
 	delete(sc.inherited, w.ID)
+	sc.touch(w)
 }
 
 // markEnded releases the runs of a worker that has certainly ended, for a reason that the log names.
@@ -184,13 +215,15 @@
 	delete(sc.inherited, w.ID)
 }
 
-// TrackedWorkers returns every worker whose state the scheduler keeps; NextRenewal tells which need a renewal.
-func (sc *Scheduler) TrackedWorkers() []work.WorkerID {
-	ids := make([]work.WorkerID, 0, len(sc.workers))
-	for id := range sc.workers {
-		ids = append(ids, id)
+// Workers returns the workers that may get orders.
+func (sc *Scheduler) Workers() []work.Worker {
+	list := make([]work.Worker, 0, len(sc.workers))
+	for _, w := range sc.workers {
+		if !w.ended {
+			list = append(list, w.Worker)
+		}
 	}
-	return ids
+	return list
 }
 
 // Tracks reports whether the scheduler still keeps a worker's state.
@@ -253,6 +286,7 @@
 // markUnresponsive records that a worker did not reply.
 func (sc *Scheduler) markUnresponsive(w *worker) {
 	w.failures++
+	sc.touch(w)
 	if w.unresponsiveSince.IsZero() {
 		w.unresponsiveSince = time.Now()
 		sc.log.Warn("engine: worker did not reply; its tasks wait until it does or its leases expire",
@@ -261,11 +295,25 @@
 	}
 }
 
+// doubt records that a relay got no reply from a worker. It gets no tasks until this process has asked it itself, since
+// the relay may be the one that has failed.
+func (sc *Scheduler) doubt(w *worker) {
+	if w.responsive() {
+		w.doubtedSince = time.Now()
+		sc.touch(w)
+		sc.log.Info("engine: worker did not reply to its relay; asking it from here", zap.String("worker", string(w.ID)),
+			zap.Int("runs", len(w.runs)))
+	}
+}
+
+// responsive reports whether the worker has replied to the last call, as far as is known.
+func (w *worker) responsive() bool { return w.unresponsiveSince.IsZero() && w.doubtedSince.IsZero() }
+
 // usable reports whether a worker may get tasks now; callers check separately whether it is cordoned. The store must
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
 	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && w.isDescribed() && !w.Leaving &&
-		w.unresponsiveSince.IsZero() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
+		w.responsive() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
 // evict stops long-running tasks on leaving workers, those on cordoned workers as far as disruption budgets and free
@@ -400,6 +448,7 @@
 	sc.clearInUse(w)
 	w.confirmed = false
 	delete(sc.inherited, w.ID)
+	sc.touch(w)
 }
 
 // clearInUse records that no task runs on a worker any more, and has the store's record that tasks may run there
@@ -423,6 +472,7 @@
 		}
 		if !w.listed && len(w.runs) == 0 && !w.inUse && (w.ended || !w.unresponsiveSince.IsZero()) &&
 			sc.inherited[id] == nil {
+			sc.touch(w)
 			delete(sc.workers, id)
 		}
 	}
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/speed"
 	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
+	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/serve/router"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/state/rules"
@@ -153,8 +154,11 @@
 	e.ElectionDelay = h.currentElectionDelay
 	e.ShuttingDown = h.shuttingDown.Load
 	r.SetLeaderTracker(e)
-	r.SetCandidacy(h.Peers, h.currentElectionDelay)
+	r.SetCandidacy(router.Candidacy{Address: h.Peers, Zone: h.Zone, ElectionDelay: h.currentElectionDelay, Relays: true})
 	h.leader.OfferLeadership = r.OfferLeadership
+	h.leader.OpenRelay = func(ctx context.Context, address string) (relay.OrderStream, error) {
+		return peer.Open(ctx, client, address, peer.MethodRelay)
+	}
 	a := &elect.Announcer{Store: h.Leader.Store, Self: self, HeardRecently: h.leader.HeardRecently,
 		AnnounceLeader: r.AnnounceLeader, Log: h.Log,
 		Leader: func() (elect.LeaderRecord, bool) {
@@ -163,6 +167,10 @@
 		}}
 	server := peer.NewServer(secret)
 	r.Serve(server)
+	relay.NewServer(h.Leader.Workers, func() int64 {
+		record, _ := e.Leader()
+		return record.Term
+	}, h.Registry, h.Log).Register(server)
 	front := h.Front(r)
 	h.front.Store(&front)
 	h.router.Store(r)
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
-	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 )
 
 // planLoop sends commands whenever the state has changed.
@@ -46,22 +44,19 @@
 	if !s.steppingDown {
 		commands = s.scheduler.Commands()
 	}
-	for _, c := range commands {
-		// The renewal loop of a worker without runs waits for a wake; the start gives the worker a run.
-		if start, ok := c.(engine.Start); ok {
-			if woken, ok := s.renewals[start.Worker]; ok {
-				wake(woken)
-			}
-		}
-	}
 	s.mu.Unlock()
+	now := time.Now()
+	orders := make([]relay.Order, 0, len(commands))
 	for _, c := range commands {
 		if r, ok := c.(engine.TicketRequest); ok {
 			go s.authorize(ctx, r)
 		} else {
-			go s.execute(ctx, c)
+			orders = append(orders, relay.Order{Command: c, Sent: now})
 		}
 	}
+	s.send(ctx, orders)
+	// A run on a worker that had none calls for a renewal.
+	wake(s.renewalWake)
 }
 
 // authorize requests tickets for one step from the authorizer. The authorizer handles one call of an instance at a time
@@ -86,35 +81,6 @@
 
 var errNoAuthorizer = errors.New("leader: a queue needs tickets, but no authorizer is configured")
 
-// execute sends one command to its worker and records the outcome, unless the context has ended by then.
-func (s *session) execute(ctx context.Context, c engine.Command) {
-	sent := time.Now()
-	result := engine.Withheld
-	// Authority may have ended since the command was planned, for example while the process was frozen.
-	if s.hasAuthority() {
-		result = s.service.Workers.Execute(ctx, c, s.leadership.FencingToken())
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	metrics.GetOrRegisterCounter(fmt.Sprintf("worker_orders{result=%q}", result), s.service.Registry).Inc(1)
-	s.service.observe("worker_order_ms", sent)
-	if result != engine.Applied {
-		s.log.Info("leader: command not confirmed by its worker", zap.Any("order", describe(c)),
-			zap.Stringer("result", result), zap.Duration("took", time.Since(sent)))
-	}
-	if result == engine.Fenced {
-		s.handleFenced()
-	}
-	s.mu.Lock()
-	s.scheduler.HandleOutcome(c, result, sent)
-	held := s.scheduler.AwaitsStartReplies()
-	s.mu.Unlock()
-	if result != engine.Applied || held {
-		s.wakeLoops()
-	}
-}
-
 // describe returns a command for the log, without the body of the job.
 func describe(c engine.Command) string {
 	switch c := c.(type) {
@@ -135,74 +101,3 @@
 	s.leadership.MarkLost()
 	wake(s.commitWake)
 }
-
-// renewLoop renews the leases of one worker and reads its run lists, as long as the scheduler tracks the worker.
-func (s *session) renewLoop(ctx context.Context, id work.WorkerID, woken chan struct{}) {
-	var last time.Time
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		renewal, interval, wanted := s.scheduler.NextRenewal(id)
-		if !s.scheduler.Tracks(id) {
-			delete(s.renewals, id)
-			s.mu.Unlock()
-			return
-		}
-		due := last.Add(interval)
-		now := time.Now()
-		ready := wanted && !due.After(now) && s.hasAuthority()
-		if ready {
-			renewal = s.scheduler.PrepareRenewal(renewal)
-		}
-		s.mu.Unlock()
-		switch {
-		case ready:
-			s.renew(ctx, renewal)
-			last = time.Now()
-		case wanted:
-			waitForWake(ctx, woken, max(due.Sub(now), authorityCheckInterval))
-		default:
-			waitForWake(ctx, woken, 0)
-		}
-	}
-}
-
-// authorityCheckInterval is the time between two checks whether this process may send a renewal that is due.
-const authorityCheckInterval = 10 * time.Millisecond
-
-// waitForWake waits for a wake, at most for a duration; 0 means no bound.
-func waitForWake(ctx context.Context, woken chan struct{}, d time.Duration) {
-	var after <-chan time.Time
-	if d > 0 {
-		t := time.NewTimer(d)
-		defer t.Stop()
-		after = t.C
-	}
-	select {
-	case <-woken:
-	case <-after:
-	case <-ctx.Done():
-	}
-}
-
-func (s *session) renew(ctx context.Context, r engine.Renewal) {
-	if !s.hasAuthority() {
-		return
-	}
-	sent := time.Now()
-	reply, result := s.service.Workers.Renew(ctx, r, s.leadership.FencingToken())
-	if ctx.Err() != nil {
-		return
-	}
-	if result == engine.Fenced {
-		s.handleFenced()
-		return
-	}
-	s.mu.Lock()
-	if result == engine.Applied {
-		s.scheduler.HandleRenewal(r, reply, sent)
-	} else {
-		s.scheduler.HandleRenewalFailure(r, result)
-	}
-	s.mu.Unlock()
-	s.wakeLoops()
-}
--- a/internal/serve/leader/commands_test.go
+++ b/internal/serve/leader/commands_test.go
@@ -12,6 +12,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 )
 
@@ -42,9 +43,9 @@
 		var workers countingWorkers
 		s := newSession(New(Options{Workers: &workers, Scheduler: engine.DefaultOptions(), Log: zap.NewNop()}), l)
 		send := func() {
-			s.execute(t.Context(), engine.Start{Worker: "w"})
-			s.execute(t.Context(), engine.Stop{Worker: "w"})
-			s.renew(t.Context(), engine.Renewal{Worker: "w"})
+			s.execute(t.Context(), relay.Order{Command: engine.Start{Worker: "w"}})
+			s.execute(t.Context(), relay.Order{Command: engine.Stop{Worker: "w"}})
+			s.execute(t.Context(), relay.Order{Renewal: engine.Renewal{Worker: "w"}})
 		}
 		send()
 		if workers.calls != 3 {
--- a/internal/serve/leader/handover_test.go
+++ b/internal/serve/leader/handover_test.go
@@ -27,7 +27,8 @@
 				}
 				p := path{from, to}
 				q := peer.HeartbeatRequest{From: from.name, Address: from.name, Term: r.Term,
-					ElectionDelay: from.electionDelay(), Echo: replies[p].Stamp, EchoTerm: replies[p].Term}
+					ElectionDelay: from.electionDelay(), Echo: replies[p].Stamp, EchoTerm: replies[p].Term, Zone: "a",
+					Relays: c.relayed}
 				send := func() peer.HeartbeatReply { return to.service.Load().HandleHeartbeat(q) }
 				if !c.holdUp(from, to, func() { send() }) {
 					replies[p] = send()
@@ -83,8 +84,14 @@
 
 // testClusterOf does the same with any number of instances.
 func testClusterOf(t *testing.T, instances int, adjust func(*leader.Options), f func(*cluster)) {
+	testStartedCluster(t, &cluster{adjust: adjust}, instances, 1, f)
+}
+
+// testStartedCluster runs a test on instances of a cluster of which the other fields are not set yet.
+func testStartedCluster(t *testing.T, c *cluster, instances int, seed uint64, f func(*cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newClusterOf(t, instances, 1, adjust)
+		c.t = t
+		startCluster(c, instances, seed)
 		ctx, cancel := context.WithCancel(t.Context())
 		go c.sendHeartbeats(ctx)
 		time.Sleep(10 * time.Second)
--- a/internal/serve/leader/history_test.go
+++ b/internal/serve/leader/history_test.go
@@ -16,6 +16,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
+	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/state/rules"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
@@ -30,6 +31,9 @@
 	elector atomic.Pointer[elect.Elector]
 	stop    context.CancelFunc
 	done    chan struct{}
+	// ctx is that of the current process, relay its server of the leader's orders.
+	ctx   context.Context
+	relay *relay.Server
 	// workers are the cluster's as this instance reaches them.
 	workers *linkedWorkers
 	// slow means that the process runs slowly, which its election delay shows.
@@ -62,6 +66,9 @@
 	heldUp []func()
 	// adjust changes the options of each new leader service.
 	adjust func(*leader.Options)
+	// relayed means that the instances relay the leader's orders, relays are the streams between them.
+	relayed bool
+	relays  []*relayStream
 }
 
 // noDetector knows nothing about the leader, so that the elector depends on the leader record alone.
@@ -76,14 +83,18 @@
 }
 
 func newClusterOf(t *testing.T, instances int, seed uint64, adjust func(*leader.Options)) *cluster {
+	return startCluster(&cluster{t: t, adjust: adjust}, instances, seed)
+}
+
+// startCluster starts instances of a cluster of which the other fields are not set yet.
+func startCluster(c *cluster, instances int, seed uint64) *cluster {
 	var workers []work.Worker
 	for i := range 4 {
 		name := fmt.Sprintf("w%d", i)
 		workers = append(workers, work.Worker{ID: work.WorkerID(name), Pool: "p", Address: name, Zone: "a",
 			Capacity: work.Need{CPU: 4000, Memory: 4000}})
 	}
-	c := &cluster{t: t, store: fakes.NewTable(), fakeWorkers: fakes.NewWorkers(seed, workers...),
-		rules: rules.NewCache(), adjust: adjust}
+	c.store, c.fakeWorkers, c.rules = fakes.NewTable(), fakes.NewWorkers(seed, workers...), rules.NewCache()
 	c.workers = &recordingWorkers{Workers: c.fakeWorkers}
 	c.rules.Configure(work.NewConfig(work.Config{Version: 1,
 		Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}},
@@ -98,13 +109,16 @@
 
 func (c *cluster) start(e *entry) {
 	ctx, cancel := context.WithCancel(context.Background())
-	e.stop, e.done = cancel, make(chan struct{})
+	e.stop, e.done, e.ctx = cancel, make(chan struct{}), ctx
 	c.processes++
 	o := leader.Options{Store: e.link, Clock: c.store, Workers: e.workers, Fleet: c.fakeWorkers, Rules: c.rules,
 		Scheduler: engine.DefaultOptions(), ElectionDelay: e.electionDelay, Log: zap.NewNop(),
 		OfferLeadership: func(_ context.Context, address string, delay time.Duration) (bool, error) {
 			return c.offer(e.name, address, delay), nil
 		}}
+	if c.relayed {
+		c.addRelay(e, &o)
+	}
 	c.adjust(&o)
 	s := leader.New(o)
 	e.service.Store(s)
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -12,18 +12,17 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/plan/assign"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/state/rules"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
 // Workers sends commands and renewals to workers, each with the leader's fencing token.
-type Workers interface {
-	Execute(ctx context.Context, c engine.Command, fence int64) engine.Outcome
-	Renew(ctx context.Context, r engine.Renewal, fence int64) (work.RenewalReply, engine.Outcome)
-}
+type Workers = relay.Workers
 
 // Authorizer decides which workers may run a step; it returns their tickets and how long these are valid.
 type Authorizer interface {
@@ -60,6 +59,10 @@
 	// OfferLeadership offers leadership to the peer at an address, with this instance's election delay, and reports
 	// whether the peer accepts; nil means that none does.
 	OfferLeadership func(ctx context.Context, address string, delay time.Duration) (bool, error)
+	// OpenRelay opens a stream to the relay at an address; nil means that no instance relays orders. Assign are the
+	// options of the choice of relays.
+	OpenRelay func(ctx context.Context, address string) (relay.OrderStream, error)
+	Assign    assign.Options
 	// Registry may be nil; then the Service creates one.
 	Registry metrics.Registry
 	Log      *zap.Logger
@@ -77,7 +80,8 @@
 	// heartbeats holds the last heartbeat of each peer, by the peer's name.
 	heartbeats map[string]heartbeat
 	// epoch is the origin of the stamps in replies to heartbeats.
-	epoch time.Time
+	epoch        time.Time
+	orderMetrics orderMetrics
 }
 
 // New returns a Service that doesn't lead yet.
@@ -85,7 +89,8 @@
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
-	return &Service{Options: o, heartbeats: map[string]heartbeat{}, epoch: time.Now()}
+	return &Service{Options: o, heartbeats: map[string]heartbeat{}, epoch: time.Now(),
+		orderMetrics: newOrderMetrics(o.Registry)}
 }
 
 // ErrNotLeader means that this process is not the leader and has done nothing.
@@ -211,12 +216,16 @@
 // sampleSize is the number of values in the sample of a histogram.
 const sampleSize = 1024
 
-// observe adds the milliseconds since a point in time to a histogram.
-func (s *Service) observe(name string, since time.Time) {
-	h := s.Registry.GetOrRegister(name, func() metrics.Histogram {
+func histogram(r metrics.Registry, name string) metrics.Histogram {
+	h := r.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
 	})
-	h.(metrics.Histogram).Update(time.Since(since).Milliseconds())
+	return h.(metrics.Histogram)
+}
+
+// observe adds the milliseconds since a point in time to a histogram.
+func (s *Service) observe(name string, since time.Time) {
+	histogram(s.Registry, name).Update(time.Since(since).Milliseconds())
 }
 
 // StepDown hands over or releases leadership if this process leads and has loaded the stored state.
--- a/internal/serve/leader/partition_test.go
+++ b/internal/serve/leader/partition_test.go
@@ -86,6 +86,9 @@
 	c.mu.Lock()
 	heldUp := c.heldUp
 	c.apart, c.heldUp = apart, nil
+	for _, s := range c.relays {
+		s.hold(slices.Contains(apart, s.from) != slices.Contains(apart, s.to))
+	}
 	c.mu.Unlock()
 	for _, deliver := range heldUp {
 		deliver()
--- a/internal/serve/leader/peers.go
+++ b/internal/serve/leader/peers.go
@@ -28,6 +28,9 @@
 	at            time.Time
 	address       string
 	electionDelay time.Duration
+	zone          string
+	// relays means that the peer relays orders.
+	relays bool
 	// confirmedAt is the latest time after which the peer is known to have known of no later term than confirmedTerm,
 	// a term of this process: the stamp that it echoed.
 	confirmedAt   time.Time
@@ -42,6 +45,7 @@
 	l := s.leadership
 	h := s.heartbeats[q.From]
 	h.at, h.address, h.electionDelay = now, q.Address, q.ElectionDelay
+	h.zone, h.relays = q.Zone, q.Relays
 	if at := s.epoch.Add(q.Echo); l != nil && q.Echo > 0 && q.EchoTerm == l.Term() && q.Term <= l.Term() &&
 		at.After(h.confirmedAt) && !at.After(now) {
 		h.confirmedAt, h.confirmedTerm = at, q.EchoTerm
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/plan/assign"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
@@ -27,6 +30,9 @@
 	maxPlanPause = 100 * time.Millisecond
 	// tickInterval is the time between two checks for timers of the scheduler that are due.
 	tickInterval = 100 * time.Millisecond
+	// peersNeededBelow is the time that authority must have left for the peers not to matter. It is longer than the time
+	// between two checks of authority by tickLoop, also when these are late.
+	peersNeededBelow = 1200 * time.Millisecond
 	// authorityMaxAge is how long a transaction confirms the right to send commands; after that all peers must.
 	authorityMaxAge = 2 * time.Second
 )
@@ -41,8 +47,7 @@
 	// operations.
 	mu        sync.Mutex
 	scheduler *engine.Scheduler
-	// renewals are the wake channels of the renewal loops, one for each tracked worker.
-	renewals map[work.WorkerID]chan struct{}
+	renewals  renewalQueue
 	// committed is closed and replaced after each successful commit, also one without a transaction.
 	committed chan struct{}
 	// authorizing serializes the calls to the authorizer.
@@ -63,7 +68,12 @@
 	// authorityUntil is when the authority to send commands ends unless it is confirmed again before.
 	authorityUntil time.Time
 
-	planWake, commitWake chan struct{}
+	planWake, commitWake, renewalWake chan struct{}
+	// results are those of the orders that this process executes itself.
+	results resultQueue
+	// relays is nil without relays; relayOf names the relay of each worker and is replaced as a whole.
+	relays  *relay.Pool
+	relayOf atomic.Pointer[assign.Assignment]
 	// done is closed when the session ends.
 	done chan struct{}
 }
@@ -71,11 +81,11 @@
 func newSession(s *Service, l *elect.Leadership) *session {
 	return &session{
 		service: s, leadership: l, log: s.Log, scheduler: engine.New(s.Options.Scheduler, l.Term(), s.Log),
-		renewals: map[work.WorkerID]chan struct{}{}, committed: make(chan struct{}),
+		renewals: newRenewalQueue(), committed: make(chan struct{}),
 		waves: map[int64]*waveState{}, changedWaves: map[int64]bool{},
 		operations: newOperationLog(s.Clock, s.Moves.TakeoverPause+operationTTL, s.Log),
-		planWake:   make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
-		done: make(chan struct{}), transactions: txLog{log: s.Log},
+		planWake:   make(chan struct{}, 1), commitWake: make(chan struct{}, 1), renewalWake: make(chan struct{}, 1),
+		results: resultQueue{wake: make(chan struct{}, 1)}, done: make(chan struct{}), transactions: txLog{log: s.Log},
 	}
 }
 
@@ -86,7 +96,7 @@
 	defer close(s.done)
 	var loops sync.WaitGroup
 	for _, f := range []func(context.Context){s.watchRules, s.watchFleet, s.planLoop, s.tickLoop, s.moveLoop,
-		s.handoverLoop} {
+		s.handoverLoop, s.renewalLoop, s.resultLoop, s.relayLoop} {
 		loops.Go(func() { f(ctx) })
 	}
 	s.commitLoop(ctx)
@@ -102,19 +112,23 @@
 	}
 }
 
-// wakeLoops wakes the plan loop and the commit loop.
+// wakeLoops wakes the loops that act on changes of the scheduler.
 func (s *session) wakeLoops() {
 	wake(s.planWake)
 	wake(s.commitWake)
+	wake(s.renewalWake)
 }
 
-// hasAuthority reports whether this process may still send commands: leadership is not known to be lost, and the store
-// has confirmed it within authorityMaxAge or all peers have ever since. A later leader is one of the peers, so that
-// authority ends at most the longer of both times after that has acquired leadership, within engine.Options.Authority.
-// Once authority has ended, only the store can confirm that no later leader has acted meanwhile.
-func (s *session) hasAuthority() bool {
+// hasAuthority reports whether this process may still send commands.
+func (s *session) hasAuthority() bool { return s.authorityLeft() > 0 }
+
+// authorityLeft returns for how long this process may send commands, 0 or less if it may not: leadership is not known to
+// be lost, and the store has confirmed it within authorityMaxAge or all peers have ever since. A later leader is one of
+// the peers, so that authority ends at most the longer of both times after that has acquired leadership, within
+// engine.Options.Authority. Once authority has ended, only the store can confirm that no later leader has acted meanwhile.
+func (s *session) authorityLeft() time.Duration {
 	if s.leadership.Lost() {
-		return false
+		return 0
 	}
 	s.authorityMu.Lock()
 	defer s.authorityMu.Unlock()
@@ -125,10 +139,11 @@
 		}
 	}
 	extend(now.Add(authorityMaxAge - s.leadership.SinceConfirmed()))
-	if s.authorityUntil.After(now) {
+	// The peers count only while the store is late, since asking for them takes time for each.
+	if left := s.authorityUntil.Sub(now); left > 0 && left < peersNeededBelow {
 		extend(s.service.peersConfirmedAt().Add(peersMaxAge))
 	}
-	return s.authorityUntil.After(now)
+	return s.authorityUntil.Sub(now)
 }
 
 func (s *session) watchRules(ctx context.Context) {
@@ -155,35 +170,16 @@
 }
 
 func (s *session) watchFleet(ctx context.Context) {
-	var loops sync.WaitGroup
-	s.startRenewals(ctx, &loops)
 	s.service.Fleet.Watch(ctx, func(list []work.Worker) {
 		s.mu.Lock()
 		s.scheduler.SetWorkers(list)
 		s.mu.Unlock()
-		s.startRenewals(ctx, &loops)
 		s.wakeLoops()
 	}, func(at time.Time) {
 		s.mu.Lock()
 		s.scheduler.ConfirmReports(at)
 		s.mu.Unlock()
 	})
-	loops.Wait()
-}
-
-// startRenewals starts the renewal loop of each tracked worker that has none and wakes the others.
-func (s *session) startRenewals(ctx context.Context, loops *sync.WaitGroup) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, id := range s.scheduler.TrackedWorkers() {
-		if c, ok := s.renewals[id]; ok {
-			wake(c)
-			continue
-		}
-		woken := make(chan struct{}, 1)
-		s.renewals[id] = woken
-		loops.Go(func() { s.renewLoop(ctx, id, woken) })
-	}
 }
 
 func (s *session) tickLoop(ctx context.Context) {
@@ -266,15 +262,11 @@
 	s.mu.Lock()
 	s.scheduler.HandleCommit(batch)
 	s.operations.confirm()
-	for _, id := range batch.Acknowledged() {
-		if c, ok := s.renewals[id]; ok {
-			wake(c)
-		}
-	}
 	close(s.committed)
 	s.committed = make(chan struct{})
 	s.mu.Unlock()
 	wake(s.planWake)
+	wake(s.renewalWake)
 	return nil
 }
 
--- /dev/null
+++ b/internal/serve/relay/order.go
@@ -0,0 +1,57 @@
+// Package relay sends the leader's orders to workers through other instances, the relays, so that the calls to workers
+// are spread over many processes while one process decides. A relay executes orders and keeps no state of workers: what
+// it has not reported when it fails is of unknown outcome, as a call without a reply is.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+)
+
+// Workers sends commands and renewals to workers, each with the leader's fencing token.
+type Workers interface {
+	Execute(ctx context.Context, c engine.Command, fence int64) engine.Outcome
+	Renew(ctx context.Context, r engine.Renewal, fence int64) (work.RenewalReply, engine.Outcome)
+}
+
+// Order is a command for a worker or, without a command, a renewal.
+type Order struct {
+	Command engine.Command
+	Renewal engine.Renewal
+	// Sent is when the leader issued the order.
+	Sent time.Time
+}
+
+// Worker returns the worker that an order is for.
+func (o Order) Worker() work.WorkerID {
+	switch c := o.Command.(type) {
+	case engine.Start:
+		return c.Worker
+	case engine.Stop:
+		return c.Worker
+	case engine.Throttle:
+		return c.Worker
+	}
+	return o.Renewal.Worker
+}
+
+// Result is what has become of an order. Reply is set for an applied renewal.
+type Result struct {
+	Order
+	Outcome engine.Outcome
+	Reply   work.RenewalReply
+}
+
+// Run executes an order from this process.
+func Run(ctx context.Context, w Workers, o Order, fence int64) Result {
+	r := Result{Order: o}
+	if o.Command != nil {
+		r.Outcome = w.Execute(ctx, o.Command, fence)
+	} else {
+		r.Reply, r.Outcome = w.Renew(ctx, o.Renewal, fence)
+	}
+	return r
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -73,9 +73,8 @@
 	tracker LeaderTracker
 	peers   *peer.Client
 	log     *zap.Logger
-	// address and electionDelay are what heartbeats report; nil means 0.
-	address       string
-	electionDelay func() time.Duration
+	// candidacy is what heartbeats report of this instance.
+	candidacy Candidacy
 
 	mu sync.Mutex
 	// lastReply is the last reply to a heartbeat, repliedAt when it came; failed heartbeats leave both unchanged.
@@ -94,12 +93,19 @@
 // SetLeaderTracker sets the source of the current leader; it must be called before Run.
 func (r *Router) SetLeaderTracker(t LeaderTracker) { r.tracker = t }
 
-// SetCandidacy sets what heartbeats report: the address at which peers reach this instance, and its election delay. It
-// must be called before Run.
-func (r *Router) SetCandidacy(address string, electionDelay func() time.Duration) {
-	r.address, r.electionDelay = address, electionDelay
+// Candidacy is what the leader has to know of an instance to hand over leadership or to have it relay orders.
+type Candidacy struct {
+	// Address is where peers reach the instance, Zone its availability zone.
+	Address, Zone string
+	// ElectionDelay returns the instance's election delay; nil means 0.
+	ElectionDelay func() time.Duration
+	// Relays means that the instance relays the leader's orders.
+	Relays bool
 }
 
+// SetCandidacy sets what heartbeats report of this instance. It must be called before Run.
+func (r *Router) SetCandidacy(c Candidacy) { r.candidacy = c }
+
 // Serve registers the handlers of peers' calls.
 func (r *Router) Serve(s *peer.Server) {
 	peer.Handle(s, peer.MethodSubmit, func(ctx context.Context, q peer.SubmitRequest) (peer.JobReply, error) {
@@ -159,10 +165,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	q := peer.HeartbeatRequest{From: r.name, Address: r.address, Term: leader.Term, Echo: echo,
-		EchoTerm: echoTerm}
-	if r.electionDelay != nil {
-		q.ElectionDelay = r.electionDelay()
+	q := peer.HeartbeatRequest{From: r.name, Address: r.candidacy.Address, Term: leader.Term, Echo: echo,
+		EchoTerm: echoTerm, Zone: r.candidacy.Zone, Relays: r.candidacy.Relays}
+	if r.candidacy.ElectionDelay != nil {
+		q.ElectionDelay = r.candidacy.ElectionDelay()
 	}
 	reply, err := peer.Call(ctx, r.peers, leader.Address, peer.MethodHeartbeat, q)
 	r.handleHeartbeat(leader, reply, err)
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -79,6 +79,9 @@
 	ElectionDelay time.Duration `json:"delay,omitempty"`
 	Echo          time.Duration `json:"echo,omitempty"`
 	EchoTerm      int64         `json:"echoTerm,omitempty"`
+	// Zone is the peer's availability zone, Relays whether it takes the leader's orders for workers.
+	Zone   string `json:"zone,omitempty"`
+	Relays bool   `json:"relays,omitempty"`
 }
 
 // HeartbeatReply states whether the called instance is the leader, the time since the store last confirmed its
