sched/engine: Planning passes look only at the workers that they concern

Cause: every pass went over all workers five times and sorted those of each pool, and over all runs for throttles and shares; every wake of the commit loop went over all workers.

Change: indexes by pool, by draining, by tasks that interfere with others and by ends that are not acknowledged; ended jobs are kept in order of their end and shrink to their state; shares are computed only if the pool may not do everything in time and more than one customer waits.

--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -57,10 +57,7 @@
 			}
 		}
 	}
-	for _, j := range sc.jobs {
-		if j.state.Final() {
-			continue
-		}
+	for _, j := range sc.unfinished {
 		for _, s := range j.stepStates {
 			if s.spec.LongRunning && s.spec.MaxPerWorker > 0 {
 				d := at(sc.poolOf(j))
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -56,9 +56,13 @@
 	// evacuated are the availability zones that are out of service.
 	evacuated map[string]bool
 
-	jobs    map[work.JobID]*job
-	workers map[work.WorkerID]*worker
-	pools   map[string]*pool
+	jobs map[work.JobID]*job
+	// unfinished are the jobs that have not ended, ended those that have, by the time of their end.
+	unfinished map[work.JobID]*job
+	ended      []*job
+	workers    map[work.WorkerID]*worker
+	index      workerIndex
+	pools      map[string]*pool
 	// customerUsage is what the runs of each customer use of its cap.
 	customerUsage map[string]work.Need
 	// runTimes are the models of the queues, by name.
@@ -104,6 +108,8 @@
 type pool struct {
 	name  string
 	ready map[*stepState]bool
+	// longestEstimate is the longest run time that was expected of a finite task of the pool at its start.
+	longestEstimate time.Duration
 }
 
 // New returns an empty scheduler for a leader's term. With a nil log it logs nothing.
@@ -113,7 +119,8 @@
 	}
 	return &Scheduler{
 		options: o, log: log, term: term, config: work.NewConfig(work.Config{}), evacuated: map[string]bool{},
-		jobs: map[work.JobID]*job{}, workers: map[work.WorkerID]*worker{}, pools: map[string]*pool{},
+		jobs: map[work.JobID]*job{}, unfinished: map[work.JobID]*job{}, workers: map[work.WorkerID]*worker{},
+		index: newWorkerIndex(), pools: map[string]*pool{},
 		customerUsage: map[string]work.Need{}, runTimes: map[string]*runTimeModel{}, dirty: map[work.JobID]*job{},
 		arrived: map[string]float64{}, inherited: map[work.WorkerID]*worker{}, dirtyWorkers: map[work.WorkerID]bool{},
 		stopping: map[work.RunKey]*run{}, pending: newPendingStarts(),
@@ -132,7 +139,7 @@
 	for _, p := range sc.pools {
 		p.ready = map[*stepState]bool{}
 	}
-	for _, j := range sc.jobs {
+	for _, j := range sc.unfinished {
 		for _, s := range j.stepStates {
 			sc.enqueue(s)
 		}
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -230,6 +230,8 @@
 func (sc *Scheduler) finishJob(j *job, state work.State) {
 	j.state = state
 	j.finishedAt = time.Now()
+	delete(sc.unfinished, j.ID)
+	sc.ended = append(sc.ended, j)
 	sc.log.Info("engine: job ended", zap.String("job", string(j.ID)), zap.String("state", string(state)),
 		zap.Duration("late", j.finishedAt.Sub(j.deadline)))
 	sc.markDirty(j)
--- a/internal/sched/engine/latency.go
+++ b/internal/sched/engine/latency.go
@@ -42,7 +42,7 @@
 // below theirs for unthrottleDelay. It skips unresponsive workers.
 func (sc *Scheduler) throttleCommands(now time.Time) []Command {
 	var commands []Command
-	for _, w := range sc.workers {
+	for _, w := range sc.index.interfering {
 		if !w.responsive() {
 			continue
 		}
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -33,9 +33,9 @@
 // placeWaiting starts waiting tasks of a pool in the order of their rank and requests the tickets that they need.
 func (sc *Scheduler) placeWaiting(p *pool, now time.Time) []Command {
 	workers, cordoned := newCandidates(), newCandidates()
-	for _, w := range sc.workers {
+	for _, w := range sc.index.byPool[p.name] {
 		switch {
-		case w.Pool != p.name || !sc.usable(w, now):
+		case !sc.usable(w, now):
 		case w.cordoned:
 			cordoned.workers = append(cordoned.workers, w)
 		default:
@@ -46,9 +46,6 @@
 	if !slices.ContainsFunc(waiting, func(s *stepState) bool { return sc.mayPlace(s, workers, cordoned) }) {
 		return nil
 	}
-	for _, c := range []*candidates{workers, cordoned} {
-		slices.SortFunc(c.workers, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
-	}
 	var commands []Command
 	for _, e := range sc.rankSteps(p, waiting, now) {
 		s, eligible := e.state, workers.workers
@@ -454,6 +451,9 @@
 	}
 	s.waiting--
 	w.runs[r.key] = r
+	sc.index.countRun(w, r, 1)
+	p := sc.pool(w.Pool)
+	p.longestEstimate = max(p.longestEstimate, sc.estimate(s.job.Queue, *s.spec))
 	w.reserved = w.reserved.Plus(r.need)
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Plus(r.charge)
 	s.job.started = true
--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -103,15 +103,7 @@
 
 // Dirty reports whether there are changes to store or ended runs to acknowledge.
 func (sc *Scheduler) Dirty() bool {
-	if len(sc.dirty) > 0 || len(sc.deleted) > 0 || len(sc.dirtyWorkers) > 0 {
-		return true
-	}
-	for _, w := range sc.workers {
-		if w.handledEnd > w.ackedEnd {
-			return true
-		}
-	}
-	return false
+	return len(sc.dirty) > 0 || len(sc.deleted) > 0 || len(sc.dirtyWorkers) > 0 || len(sc.index.unacked) > 0
 }
 
 // Batch returns the next writes for the store. It acknowledges each end whose change it or an earlier batch holds, if the
@@ -183,7 +175,7 @@
 		sc.deleted = sc.deleted[1:]
 	}
 	c.Left = len(newJobs) + len(others) - len(c.jobVersions)
-	for id, w := range sc.workers {
+	for id, w := range sc.index.unacked {
 		if n := sc.lastStoredEnd(w, c.jobVersions); n > w.ackedEnd {
 			c.ackedEnds[id], c.incarnations[id] = n, w.Incarnation
 		}
@@ -295,6 +287,7 @@
 		j.committedVersion = version
 		first := !j.stored
 		j.stored = true
+		j.shrink()
 		if j.version == version {
 			delete(sc.dirty, id)
 		}
@@ -318,12 +311,24 @@
 	for id, n := range c.ackedEnds {
 		if w, ok := sc.workers[id]; ok && w.Incarnation == c.incarnations[id] {
 			w.ackedEnd = max(w.ackedEnd, n)
+			sc.index.updateUnacked(w)
 			sc.touch(w)
 			w.unackedEnds = slices.DeleteFunc(w.unackedEnds, func(u unackedEnd) bool { return u.number <= n })
 		}
 	}
 }
 
+// shrink releases what an ended job needs no more while its state is kept for callers.
+func (j *job) shrink() {
+	if !j.storedState.Final() {
+		return
+	}
+	j.Spec = ""
+	if len(j.stepStates) == 0 {
+		j.Steps = nil
+	}
+}
+
 // Restore loads the state that a former leader stored. Records that can't be decoded or are invalid are logged and
 // skipped.
 func (sc *Scheduler) Restore(items []table.Item) {
@@ -343,10 +348,10 @@
 			sc.restoreWorker(i)
 		}
 	}
-	for _, j := range sc.jobs {
-		if j.state.Final() {
-			continue
-		}
+	slices.SortFunc(sc.ended, func(x, y *job) int {
+		return cmp.Or(x.finishedAt.Compare(y.finishedAt), cmp.Compare(x.ID, y.ID))
+	})
+	for _, j := range sc.unfinished {
 		if p, ok := runs[string(j.ID)]; ok {
 			j.restoreProgress(sc, p)
 		} else {
@@ -380,6 +385,11 @@
 		j.finishedAt = time.UnixMilli(r.EndedAt)
 	}
 	sc.jobs[j.ID] = j
+	if j.state.Final() {
+		sc.ended = append(sc.ended, j)
+	} else {
+		sc.unfinished[j.ID] = j
+	}
 }
 
 func (sc *Scheduler) restoreWorker(i table.Item) {
@@ -393,6 +403,7 @@
 		Incarnation: r.Incarnation},
 		runs: map[work.RunKey]*run{}, inUse: true, inUseStored: true}
 	sc.workers[id] = w
+	sc.index.add(w)
 	sc.inherited[id] = w
 	sc.touch(w)
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -248,6 +248,7 @@
 	t.lastNumber = max(t.lastNumber, a.Run.Number)
 	s.gangNumber = max(s.gangNumber, a.Run.Number)
 	r.stepState = s
+	sc.index.countRun(w, r, 1)
 	r.charge = s.spec.Need
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Plus(r.charge)
 	if len(t.runs) == 0 && !t.done {
@@ -291,6 +292,7 @@
 		}
 		w.unackedEnds = append(w.unackedEnds, u)
 	}
+	sc.index.updateUnacked(w)
 }
 
 // handleEnd releases an ended run and updates its task unless the job has ended.
--- a/internal/sched/engine/share.go
+++ b/internal/sched/engine/share.go
@@ -37,6 +37,10 @@
 			claimOf[i].Normal += int(waiting[i])
 		}
 	}
+	if len(claimed) < 2 || total+sc.mostRemaining(p) <= sc.finiteCPU(p, now)*horizon.Seconds() {
+		// The customers of running tasks don't change the order of the waiting steps of a single one.
+		return false
+	}
 	finiteCPU := 0.0 // what finite tasks may use, in thousandths of a core
 	for _, w := range sc.workers {
 		if w.Pool != p.name || !sc.usable(w, now) {
@@ -71,6 +75,26 @@
 	return marked
 }
 
+// finiteCPU returns what finite tasks may use in a pool, in thousandths of a core.
+func (sc *Scheduler) finiteCPU(p *pool, now time.Time) float64 {
+	var cpu int64
+	for _, w := range sc.index.byPool[p.name] {
+		if sc.usable(w, now) {
+			cpu += w.Capacity.CPU - w.longRunningCPU
+		}
+	}
+	return max(float64(cpu), 0)
+}
+
+// mostRemaining returns a bound on the remaining work of a pool's running finite tasks, in core-milliseconds.
+func (sc *Scheduler) mostRemaining(p *pool) float64 {
+	var cpu int64
+	for _, w := range sc.index.byPool[p.name] {
+		cpu += w.reserved.CPU - w.longRunningCPU
+	}
+	return float64(cpu) * p.longestEstimate.Seconds()
+}
+
 // claims are the running and waiting work of a pool's customers, in core-milliseconds.
 type claims map[string]*share.Claim
 
--- a/internal/sched/engine/stall.go
+++ b/internal/sched/engine/stall.go
@@ -33,8 +33,8 @@
 
 func (sc *Scheduler) logStall(p *pool, s *stepState, index int, now time.Time) {
 	var usable, cordoned, fits, cordonedFits int
-	for _, w := range sc.workers {
-		if w.Pool != p.name || !sc.usable(w, now) {
+	for _, w := range sc.index.byPool[p.name] {
+		if !sc.usable(w, now) {
 			continue
 		}
 		ok := sc.fits(s, w)
--- a/internal/sched/engine/submit.go
+++ b/internal/sched/engine/submit.go
@@ -53,6 +53,7 @@
 	n := &job{Job: j, settings: settingsOf(q), state: work.Pending, storedState: work.Pending,
 		stepStates: map[stepKey]*stepState{}}
 	sc.jobs[j.ID] = n
+	sc.unfinished[j.ID] = n
 	sc.openRound(n)
 	sc.recordArrival(n)
 	n.deadline = sc.jobDeadline(n)
@@ -69,8 +70,8 @@
 			return fmt.Errorf("%w: step %d needs more than its customer may run", ErrImpossible, i)
 		}
 		seen, fits := false, false
-		for _, w := range sc.workers {
-			if w.Pool == q.Pool && w.listed && !w.ended {
+		for _, w := range sc.index.byPool[q.Pool] {
+			if w.listed && !w.ended {
 				seen = true
 				fits = fits || s.Reserved().FitsIn(sc.potentialCapacity(w))
 			}
@@ -120,8 +121,8 @@
 // Waiting returns the number of accepted jobs of a queue that have neither started a task nor ended.
 func (sc *Scheduler) Waiting(queue string) int {
 	n := 0
-	for _, j := range sc.jobs {
-		if j.Queue == queue && j.stored && !j.started && !j.state.Final() {
+	for _, j := range sc.unfinished {
+		if j.Queue == queue && j.stored && !j.started {
 			n++
 		}
 	}
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -72,6 +72,10 @@
 	// held means that the worker gets no other tasks until heldUntil because a suspect waits for it.
 	held      bool
 	heldUntil time.Time
+	// longRunningCPU is what its long-running tasks reserve.
+	longRunningCPU int64
+	// interferingRuns counts the best-effort runs and those with a latency objective.
+	interferingRuns int
 	// touched means that the worker is in the scheduler's list of touched ones.
 	touched bool
 }
@@ -123,6 +127,8 @@
 		w = &worker{Worker: l, listed: true, describedIncarnation: l.Incarnation, largestCapacity: l.Capacity,
 			runs: map[work.RunKey]*run{}}
 		sc.workers[l.ID] = w
+		sc.index.add(w)
+		sc.index.updateDraining(w)
 		sc.touch(w)
 		sc.log.Info("engine: worker added", zap.String("worker", string(l.ID)), zap.String("pool", l.Pool),
 			zap.String("zone", l.Zone), zap.String("address", l.Address))
@@ -142,8 +148,9 @@
 	if !w.listed {
 		sc.touch(w)
 	}
-	incarnation := max(w.Incarnation, l.Incarnation)
+	incarnation, pool := max(w.Incarnation, l.Incarnation), w.Pool
 	w.Worker = l
+	sc.index.move(w, pool)
 	w.Incarnation = incarnation
 	w.describedIncarnation = l.Incarnation
 	w.largestCapacity = w.largestCapacity.Max(l.Capacity)
@@ -156,6 +163,7 @@
 		w.cordoned, w.closed = false, false
 		sc.touch(w)
 	}
+	sc.index.updateDraining(w)
 }
 
 // touch records that the next renewal of a worker may have changed.
@@ -197,6 +205,8 @@
 	w.clockReadAt = time.Time{}
 	w.largestCapacity = work.Need{}
 	w.cordoned, w.closed = false, false
+	sc.index.updateDraining(w)
+	sc.index.updateUnacked(w)
 	delete(sc.inherited, w.ID)
 	sc.touch(w)
 }
@@ -272,6 +282,7 @@
 func (sc *Scheduler) Cordon(id work.WorkerID, cordoned bool) {
 	if w, ok := sc.workers[id]; ok {
 		w.cordoned = cordoned
+		sc.index.updateDraining(w)
 	}
 }
 
@@ -321,8 +332,8 @@
 // continue elsewhere.
 func (sc *Scheduler) evict(now time.Time) {
 	var list []*worker
-	for _, w := range sc.workers {
-		if (w.Leaving || w.cordoned) && !w.ended {
+	for _, w := range sc.index.draining {
+		if !w.ended {
 			list = append(list, w)
 		}
 	}
@@ -371,10 +382,7 @@
 		}
 	}
 	fitting := 0
-	for _, w := range sc.workers {
-		if w.Pool != r.worker.Pool {
-			continue
-		}
+	for _, w := range sc.index.byPool[r.worker.Pool] {
 		for _, o := range w.runs {
 			if o.stepState != nil && o.stepState.spec.LongRunning && (o.stopRequested || o.phase != active) {
 				competing++
@@ -403,6 +411,7 @@
 		w.unknownRuns--
 		return
 	}
+	sc.index.countRun(w, r, -1)
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Minus(r.charge)
 	t := &s.tasks[r.key.Task.Index]
 	for i, o := range t.runs {
@@ -473,17 +482,13 @@
 		if !w.listed && len(w.runs) == 0 && !w.inUse && (w.ended || !w.unresponsiveSince.IsZero()) &&
 			sc.inherited[id] == nil {
 			sc.touch(w)
+			sc.index.remove(w)
 			delete(sc.workers, id)
 		}
 	}
-	for id, j := range sc.jobs {
-		switch {
-		case j.state.Final():
-			if j.storedState.Final() && now.Sub(j.finishedAt) > sc.options.JobRetention {
-				delete(sc.jobs, id)
-				sc.deleted = append(sc.deleted, id)
-			}
-		case j.Repeats > 0 && j.openedRounds < j.Rounds() && !now.Before(time.UnixMilli(j.Due(j.openedRounds))):
+	sc.forgetEnded(now)
+	for _, j := range sc.unfinished {
+		if j.Repeats > 0 && j.openedRounds < j.Rounds() && !now.Before(time.UnixMilli(j.Due(j.openedRounds))) {
 			sc.openRound(j)
 			for _, s := range j.stepStates {
 				sc.enqueue(s)
@@ -491,3 +496,17 @@
 		}
 	}
 }
+
+// forgetEnded removes the ended jobs past their retention.
+func (sc *Scheduler) forgetEnded(now time.Time) {
+	removed := 0
+	for _, j := range sc.ended {
+		if now.Sub(j.finishedAt) <= sc.options.JobRetention || !j.storedState.Final() {
+			break
+		}
+		delete(sc.jobs, j.ID)
+		sc.deleted = append(sc.deleted, j.ID)
+		removed++
+	}
+	sc.ended = sc.ended[removed:]
+}
