leader: Heartbeats come less often the more peers there are

Cause: each instance sends the leader 2.5 heartbeats a second; at 147 instances these and their connections take about 70 of the 210 us that a run costs the leader (LeaderLoad), at 1,000 they would take more than the runs.

Change: the leader's replies name the interval, 400 ms for up to 50 peers and longer in proportion beyond that, so that it gets 125 a second in all. What a heartbeat proves counts longer accordingly. Heartbeats that come seldom can't confirm authority while the store is away; the leader then asks every peer for the latest term that it knows (the reply to an announcement has it now), from 0.6 s after the last confirmation on, every 400 ms.

Measured: TestManyPeers; without the questions its case "all answer" fails (no start while the store is away).

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -156,6 +156,7 @@
 	r.SetLeaderTracker(e)
 	r.SetCandidacy(router.Candidacy{Address: h.Peers, Zone: h.Zone, ElectionDelay: h.currentElectionDelay, Relays: true})
 	h.leader.OfferLeadership = r.OfferLeadership
+	h.leader.AskForTerm = r.AskForTerm
 	h.leader.OpenRelay = func(ctx context.Context, address string) (relay.OrderStream, error) {
 		return peer.Open(ctx, client, address, peer.MethodRelay)
 	}
--- a/internal/serve/leader/handover.go
+++ b/internal/serve/leader/handover.go
@@ -120,7 +120,7 @@
 	defer s.mu.Unlock()
 	var peers []candidate
 	for name, h := range s.heartbeats {
-		if h.address != "" && time.Since(h.at) <= heartbeatMaxAge && h.electionDelay+elect.HandoverMargin <= own {
+		if h.address != "" && time.Since(h.at) <= heartbeatMaxAge*s.interval() && h.electionDelay+elect.HandoverMargin <= own {
 			peers = append(peers, candidate{name, h.address, h.electionDelay})
 		}
 	}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -59,6 +59,8 @@
 	// OfferLeadership offers leadership to the peer at an address, with this instance's election delay, and reports
 	// whether the peer accepts; nil means that none does.
 	OfferLeadership func(ctx context.Context, address string, delay time.Duration) (bool, error)
+	// AskForTerm returns the latest term that the peer at an address knows; nil means that none can be asked.
+	AskForTerm func(ctx context.Context, address string) (int64, error)
 	// OpenRelay opens a stream to the relay at an address; nil means that no instance relays orders. Assign are the
 	// options of the choice of relays.
 	OpenRelay func(ctx context.Context, address string) (relay.OrderStream, error)
--- a/internal/serve/leader/peers.go
+++ b/internal/serve/leader/peers.go
@@ -1,10 +1,14 @@
 package leader
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/yuccahaven/yuccahaven/internal/model/pace"
+	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -14,14 +18,29 @@
 	peersMaxAge = 2 * time.Second
 	// memberMaxAge is how long an instance counts as a peer after its last heartbeat.
 	memberMaxAge = time.Minute
-	// heartbeatMaxAge is how long what a heartbeat tells of a peer counts: heartbeats come every 400 ms, and one may be
-	// lost.
-	heartbeatMaxAge = 1200 * time.Millisecond
-	// echoMaxAge is how long an echoed stamp proves that a peer knows the leader; it is the older by the time between two
-	// heartbeats.
-	echoMaxAge = 1600 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats of a peer while there are at most manyPeers; with more it is
+	// longer in proportion, so that the leader gets as many in all.
+	heartbeatInterval = 400 * time.Millisecond
+	manyPeers         = 50
+	// heartbeatMaxAge is how long what a heartbeat tells of a peer counts, in intervals: one may be lost.
+	heartbeatMaxAge = 3
+	// echoMaxAge is how long an echoed stamp proves that a peer knows the leader, in intervals; it is the older by the time
+	// between two heartbeats.
+	echoMaxAge = 4
+	// askPeersAfter is the age of the store's last confirmation from which the leader asks its peers for the latest term
+	// that they know, if their heartbeats come too seldom to confirm its authority.
+	askPeersAfter = 600 * time.Millisecond
+	// askTimeout bounds such a call.
+	askTimeout = 350 * time.Millisecond
+	// maxAsked is the number of peers asked at the same time.
+	maxAsked = 32
 )
 
+// interval returns the time between two heartbeats of a peer; mu must be held.
+func (s *Service) interval() time.Duration {
+	return max(heartbeatInterval, time.Duration(len(s.heartbeats))*heartbeatInterval/manyPeers)
+}
+
 // heartbeat is what is known of a peer from its heartbeats.
 type heartbeat struct {
 	// at is when the last heartbeat arrived, which may be long after it was sent.
@@ -51,6 +70,7 @@
 		h.confirmedAt, h.confirmedTerm = at, q.EchoTerm
 	}
 	s.heartbeats[q.From] = h
+	interval := s.interval()
 	s.mu.Unlock()
 	if l == nil {
 		return peer.HeartbeatReply{}
@@ -62,14 +82,14 @@
 		return peer.HeartbeatReply{}
 	}
 	return peer.HeartbeatReply{IsLeader: !l.Lost(), Term: l.Term(), SinceConfirmed: l.SinceConfirmed(),
-		StoreRefusedFor: l.StoreRefusedFor(), Stamp: now.Sub(s.epoch)}
+		StoreRefusedFor: l.StoreRefusedFor(), Stamp: now.Sub(s.epoch), Interval: interval}
 }
 
 // HeardRecently reports whether the heartbeats of a peer prove that it knew the leader recently.
 func (s *Service) HeardRecently(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.confirmedSince(name, time.Now().Add(-echoMaxAge))
+	return s.confirmedSince(name, time.Now().Add(-echoMaxAge*s.interval()))
 }
 
 // confirmedSince reports whether a peer is known to have known of no later term than that of this process after a point
@@ -105,3 +125,62 @@
 	}
 	return earliest
 }
+
+// askPeers asks the peers for the latest term that they know, while their heartbeats come too seldom to confirm authority
+// without the store. A peer that knows of no later term when it answers knew of none when it was asked.
+func (s *Service) askPeers(ctx context.Context, l *elect.Leadership) {
+	s.mu.Lock()
+	addresses := make(map[string]string, len(s.heartbeats))
+	for name, h := range s.heartbeats {
+		addresses[name] = h.address
+	}
+	seldom := s.interval() > heartbeatInterval
+	s.mu.Unlock()
+	if !seldom || s.AskForTerm == nil {
+		return
+	}
+	places := make(chan struct{}, maxAsked)
+	var calls sync.WaitGroup
+	for name, address := range addresses {
+		places <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-places }()
+			s.askPeer(ctx, l, name, address)
+		})
+	}
+	calls.Wait()
+}
+
+func (s *Service) askPeer(ctx context.Context, l *elect.Leadership, name, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := time.Now()
+	term, err := s.AskForTerm(ctx, address)
+	switch {
+	case err != nil:
+		return
+	case term > l.Term():
+		s.Log.Warn("leader: a peer knows of a later term, leadership is lost", zap.Int64("term", term),
+			zap.String("peer", name))
+		l.MarkLost()
+		return
+	case term != l.Term():
+		// A peer of an earlier build does not say what it knows.
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h, ok := s.heartbeats[name]; ok && s.leadership == l && (h.confirmedTerm != term || asked.After(h.confirmedAt)) {
+		h.confirmedAt, h.confirmedTerm, h.at = asked, term, time.Now()
+		s.heartbeats[name] = h
+	}
+}
+
+// askLoop asks the peers while the store is late.
+func (s *session) askLoop(ctx context.Context) {
+	pace.After(ctx, heartbeatInterval, func(ctx context.Context) {
+		if s.leadership.SinceConfirmed() >= askPeersAfter && !s.leadership.Lost() {
+			s.service.askPeers(ctx, s.leadership)
+		}
+	})
+}
--- a/internal/serve/leader/peers_test.go
+++ b/internal/serve/leader/peers_test.go
@@ -2,6 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +91,92 @@
 		t.Errorf("authority lasts %v, a later leader waits %v", longest, engine.DefaultAuthority)
 	}
 }
+
+// manyPeers are peers whose heartbeats come as seldom as the leader wants.
+type manyPeers struct {
+	count int
+	mu    sync.Mutex
+	// known is the latest term that the peers know, silent the number of those that don't answer.
+	known  int64
+	silent int
+	asked  int
+}
+
+// AskForTerm answers for the peer at an address.
+func (p *manyPeers) AskForTerm(ctx context.Context, address string) (int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked++
+	if n, err := strconv.Atoi(strings.TrimPrefix(address, "peer-")); err == nil && n < p.silent {
+		return 0, errors.New("no answer")
+	}
+	return p.known, nil
+}
+
+// sendHeartbeats sends the heartbeats of the peers and returns the interval that the leader wants.
+func (p *manyPeers) sendHeartbeats(ctx context.Context, s *leader.Service) time.Duration {
+	var interval atomic.Int64
+	for i := range p.count {
+		name := fmt.Sprintf("peer-%d", i)
+		go func() {
+			var last peer.HeartbeatReply
+			for ctx.Err() == nil {
+				last = s.HandleHeartbeat(peer.HeartbeatRequest{From: name, Address: name, Term: last.Term, Echo: last.Stamp,
+					EchoTerm: last.Term})
+				interval.Store(int64(last.Interval))
+				time.Sleep(max(last.Interval, 400*time.Millisecond))
+			}
+		}()
+	}
+	time.Sleep(5 * time.Second)
+	return time.Duration(interval.Load())
+}
+
+// Load pattern: 200 instances. Guards against a leader that spends its processor time on heartbeats, against one that stops
+// all work while the store is away for every instance because heartbeats come seldom, and against authority beyond the
+// moment at which a peer does not answer or knows of a later term.
+func TestManyPeers(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		fault  func(p *manyPeers)
+		starts bool
+	}{
+		{"all answer", func(*manyPeers) {}, true},
+		{"one is silent", func(p *manyPeers) { p.silent = 1 }, false},
+		{"one knows a later term", func(p *manyPeers) { p.known = 2 }, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			p := &manyPeers{count: 200, known: 1}
+			testClusterOf(t, 1, func(o *leader.Options) { o.AskForTerm = p.AskForTerm }, func(c *cluster) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				e := c.entries[0]
+				// 125 heartbeats a second in all, as many as 50 peers send.
+				if interval := p.sendHeartbeats(ctx, e.service.Load()); interval != 1600*time.Millisecond {
+					t.Errorf("the leader wants heartbeats every %v", interval)
+				}
+				if p.asked > 0 {
+					t.Errorf("%d peers were asked while the store answered", p.asked)
+				}
+				for i := range 4 {
+					c.submit(context.Background(), longJob(i))
+				}
+				p.mu.Lock()
+				x.fault(p)
+				p.mu.Unlock()
+				e.link.SetFaults(fakes.Faults{Down: true})
+				time.Sleep(2100 * time.Millisecond)
+				if x.name == "all answer" {
+					time.Sleep(6 * time.Second)
+				}
+				checkedAt := time.Now()
+				time.Sleep(4 * time.Second)
+				// Peers that had answered before the fault confirm for 2 s.
+				if n := c.workers.startsAfter(checkedAt); (n > 0) != x.starts {
+					t.Errorf("%d start commands", n)
+				}
+				e.link.SetFaults(fakes.Faults{})
+			})
+		})
+	}
+}
--- a/internal/serve/leader/relays.go
+++ b/internal/serve/leader/relays.go
@@ -88,7 +88,7 @@
 	var list []assign.Instance
 	for name, h := range s.heartbeats {
 		failed := states[name].FailedAt
-		if !h.relays || now.Sub(h.at) > heartbeatMaxAge || !failed.IsZero() && now.Sub(failed) < relayRetryTime && !states[name].Up {
+		if !h.relays || now.Sub(h.at) > heartbeatMaxAge*s.interval() || !failed.IsZero() && now.Sub(failed) < relayRetryTime && !states[name].Up {
 			continue
 		}
 		list = append(list, assign.Instance{Name: name, Zone: h.zone, Delay: h.electionDelay})
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -96,7 +96,7 @@
 	defer close(s.done)
 	var loops sync.WaitGroup
 	for _, f := range []func(context.Context){s.watchRules, s.watchFleet, s.planLoop, s.tickLoop, s.moveLoop,
-		s.handoverLoop, s.renewalLoop, s.resultLoop, s.relayLoop} {
+		s.handoverLoop, s.askLoop, s.renewalLoop, s.resultLoop, s.relayLoop} {
 		loops.Go(func() { f(ctx) })
 	}
 	s.commitLoop(ctx)
--- /dev/null
+++ b/internal/serve/router/heartbeat.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/state/elect"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+const (
+	// heartbeatInterval is the time between two heartbeats to the leader unless it wants a longer one, up to
+	// maxHeartbeatInterval; heartbeatTimeout bounds one of them.
+	heartbeatInterval    = 400 * time.Millisecond
+	maxHeartbeatInterval = 10 * time.Second
+	heartbeatTimeout     = 350 * time.Millisecond
+	// replyMargin is how much longer than until the next heartbeat the outcome of one counts as evidence of the leader's
+	// state.
+	replyMargin = 500 * time.Millisecond
+	// confirmedMaxAge is how old the store's last confirmation of the leader may be before other instances read the
+	// leader record.
+	confirmedMaxAge = 1200 * time.Millisecond
+	// minRefusedDuration is how long the store must have refused the leader before other instances check whether it
+	// serves them. It is longer than a few retries of a transaction.
+	minRefusedDuration = 300 * time.Millisecond
+)
+
+// Candidacy is what the leader has to know of an instance to hand over leadership or to have it relay orders.
+type Candidacy struct {
+	// Address is where peers reach the instance, Zone its availability zone.
+	Address, Zone string
+	// ElectionDelay returns the instance's election delay; nil means 0.
+	ElectionDelay func() time.Duration
+	// Relays means that the instance relays the leader's orders.
+	Relays bool
+}
+
+// SetCandidacy sets what heartbeats report of this instance. It must be called before Run.
+func (r *Router) SetCandidacy(c Candidacy) { r.candidacy = c }
+
+// Run sends heartbeats to the leader until the context ends, except while this process leads or no leader is known.
+func (r *Router) Run(ctx context.Context) {
+	for next := time.Now(); ctx.Err() == nil; {
+		r.sendHeartbeat(ctx)
+		next = next.Add(r.interval())
+		if now := time.Now(); next.Before(now) {
+			next = now
+		}
+		select {
+		case <-time.After(time.Until(next)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// interval returns the time between two heartbeats that the leader wants.
+func (r *Router) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.intervalLocked()
+}
+
+func (r *Router) intervalLocked() time.Duration {
+	return min(max(r.lastReply.Interval, heartbeatInterval), maxHeartbeatInterval)
+}
+
+// isRecent reports whether the outcome of a heartbeat at a time still counts as evidence; mu must be held.
+func (r *Router) isRecent(at time.Time) bool { return time.Since(at) <= r.intervalLocked()+replyMargin }
+
+func (r *Router) sendHeartbeat(ctx context.Context) {
+	// The echo states that no later term was known after its time, so it must be read before the known term.
+	echo, echoTerm := r.lastStamp()
+	leader, ok := r.tracker.Leader()
+	if !ok || leader.Released || r.local.IsLeader() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	q := peer.HeartbeatRequest{From: r.name, Address: r.candidacy.Address, Term: leader.Term, Echo: echo,
+		EchoTerm: echoTerm, Zone: r.candidacy.Zone, Relays: r.candidacy.Relays}
+	if r.candidacy.ElectionDelay != nil {
+		q.ElectionDelay = r.candidacy.ElectionDelay()
+	}
+	reply, err := peer.Call(ctx, r.peers, leader.Address, peer.MethodHeartbeat, q)
+	r.handleHeartbeat(leader, reply, err)
+}
+
+// lastStamp returns the stamp of the last reply to a heartbeat and its term, or 0 without one.
+func (r *Router) lastStamp() (time.Duration, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReply.Stamp, r.lastReply.Term
+}
+
+// handleHeartbeat records the reply to a heartbeat and wakes the tracker unless it shows that the store confirms the
+// leader.
+func (r *Router) handleHeartbeat(leader elect.LeaderRecord, reply peer.HeartbeatReply, err error) {
+	if err != nil || !reply.IsLeader || reply.StoreRefusedFor >= minRefusedDuration ||
+		reply.SinceConfirmed > confirmedMaxAge {
+		r.log.Debug("router: heartbeat did not confirm the leader, reading the leader record",
+			zap.String("holder", leader.Name), zap.Bool("holds", reply.IsLeader), zap.Duration("age", reply.SinceConfirmed),
+			zap.Duration("refused", reply.StoreRefusedFor), zap.Error(err))
+		r.tracker.Wake()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) || err == nil && !reply.IsLeader {
+		r.exitedAt, r.exitedTerm = time.Now(), leader.Term
+	}
+	if err == nil {
+		r.lastReply, r.repliedAt = reply, time.Now()
+	}
+}
+
+// ProcessExited reports whether the process of the leader of a term was recently found to have exited: its address
+// refused a connection, or the process that answers there does not lead.
+func (r *Router) ProcessExited(term int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.exitedTerm == term && r.isRecent(r.exitedAt)
+}
+
+// StoreRefused reports whether the leader of a term reported recently that the store refuses it.
+func (r *Router) StoreRefused(term int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReply.IsLeader && r.lastReply.Term == term && r.lastReply.StoreRefusedFor >= minRefusedDuration &&
+		r.isRecent(r.repliedAt)
+}
+
+// Alive reports whether the leader of a term reported recently that it can confirm its leadership in the store.
+func (r *Router) Alive(term int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReply.IsLeader && r.lastReply.Term == term && r.lastReply.SinceConfirmed <= confirmedMaxAge &&
+		r.lastReply.StoreRefusedFor < minRefusedDuration && r.isRecent(r.repliedAt)
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -7,12 +7,10 @@
 	"net"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/model/reject"
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
@@ -21,17 +19,6 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats to the leader, heartbeatTimeout bounds one of them.
-	heartbeatInterval = 400 * time.Millisecond
-	heartbeatTimeout  = 350 * time.Millisecond
-	// replyTTL is how long the outcome of a heartbeat counts as evidence of the leader's state.
-	replyTTL = 900 * time.Millisecond
-	// confirmedMaxAge is how old the store's last confirmation of the leader may be before other instances read the
-	// leader record.
-	confirmedMaxAge = 1200 * time.Millisecond
-	// minRefusedDuration is how long the store must have refused the leader before other instances check whether it
-	// serves them. It is longer than a few retries of a transaction.
-	minRefusedDuration = 300 * time.Millisecond
 	// callTimeout bounds one call to the leader; a call over a dead connection takes as long.
 	callTimeout = 800 * time.Millisecond
 	// leaderWaitTimeout is how long a request waits for a leader before it is rejected. It is less than a quarter of
@@ -43,8 +30,8 @@
 	takeoverDuration = 2 * time.Second
 	// DefaultRequestTimeout bounds a request if its queue sets no time-out; a caller's deadline may only shorten it.
 	DefaultRequestTimeout = 3 * time.Second
-	// replyMargin is the part of a caller's deadline that is reserved for the transfer of the reply.
-	replyMargin = 100 * time.Millisecond
+	// transferMargin is the part of a caller's deadline that is reserved for the transfer of the reply.
+	transferMargin = 100 * time.Millisecond
 )
 
 // LocalLeader is the leader service of this process; it answers peer.NotLeader while this process is not the leader.
@@ -93,19 +80,6 @@
 // SetLeaderTracker sets the source of the current leader; it must be called before Run.
 func (r *Router) SetLeaderTracker(t LeaderTracker) { r.tracker = t }
 
-// Candidacy is what the leader has to know of an instance to hand over leadership or to have it relay orders.
-type Candidacy struct {
-	// Address is where peers reach the instance, Zone its availability zone.
-	Address, Zone string
-	// ElectionDelay returns the instance's election delay; nil means 0.
-	ElectionDelay func() time.Duration
-	// Relays means that the instance relays the leader's orders.
-	Relays bool
-}
-
-// SetCandidacy sets what heartbeats report of this instance. It must be called before Run.
-func (r *Router) SetCandidacy(c Candidacy) { r.candidacy = c }
-
 // Serve registers the handlers of peers' calls.
 func (r *Router) Serve(s *peer.Server) {
 	peer.Handle(s, peer.MethodSubmit, func(ctx context.Context, q peer.SubmitRequest) (peer.JobReply, error) {
@@ -126,7 +100,8 @@
 	})
 	peer.Handle(s, peer.MethodAnnounce, func(_ context.Context, q peer.AnnounceRequest) (peer.AnnounceReply, error) {
 		r.tracker.ObserveLeader(elect.LeaderRecord{Name: q.Name, Boot: q.Boot, Address: q.Address, Term: q.Term})
-		return peer.AnnounceReply{}, nil
+		known, _ := r.tracker.Leader()
+		return peer.AnnounceReply{Term: known.Term}, nil
 	})
 	peer.Handle(s, peer.MethodOffer, func(_ context.Context, q peer.OfferRequest) (peer.OfferReply, error) {
 		record := elect.LeaderRecord{Name: q.Name, Boot: q.Boot, Address: q.Address, Term: q.Term}
@@ -136,11 +111,25 @@
 
 // AnnounceLeader sends the leader record to the instance at an address.
 func (r *Router) AnnounceLeader(ctx context.Context, address string, record elect.LeaderRecord) error {
-	_, err := peer.Call(ctx, r.peers, address, peer.MethodAnnounce,
-		peer.AnnounceRequest{Name: record.Name, Boot: record.Boot, Address: record.Address, Term: record.Term})
+	_, err := r.announce(ctx, address, record)
 	return err
 }
 
+func (r *Router) announce(ctx context.Context, address string, record elect.LeaderRecord) (peer.AnnounceReply, error) {
+	return peer.Call(ctx, r.peers, address, peer.MethodAnnounce,
+		peer.AnnounceRequest{Name: record.Name, Boot: record.Boot, Address: record.Address, Term: record.Term})
+}
+
+// AskForTerm returns the latest term that the instance at an address knows, to which it announces the leader.
+func (r *Router) AskForTerm(ctx context.Context, address string) (int64, error) {
+	leader, ok := r.tracker.Leader()
+	if !ok {
+		return 0, errNoLeader
+	}
+	reply, err := r.announce(ctx, address, leader)
+	return reply.Term, err
+}
+
 // OfferLeadership offers the leadership of this process to the instance at an address and reports whether that
 // accepts.
 func (r *Router) OfferLeadership(ctx context.Context, address string, delay time.Duration) (bool, error) {
@@ -153,78 +142,6 @@
 	return reply.Accepted, err
 }
 
-// Run sends heartbeats to the leader until the context ends, except while this process leads or no leader is known.
-func (r *Router) Run(ctx context.Context) { pace.Every(ctx, heartbeatInterval, nil, r.sendHeartbeat) }
-
-func (r *Router) sendHeartbeat(ctx context.Context) {
-	// The echo states that no later term was known after its time, so it must be read before the known term.
-	echo, echoTerm := r.lastStamp()
-	leader, ok := r.tracker.Leader()
-	if !ok || leader.Released || r.local.IsLeader() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	q := peer.HeartbeatRequest{From: r.name, Address: r.candidacy.Address, Term: leader.Term, Echo: echo,
-		EchoTerm: echoTerm, Zone: r.candidacy.Zone, Relays: r.candidacy.Relays}
-	if r.candidacy.ElectionDelay != nil {
-		q.ElectionDelay = r.candidacy.ElectionDelay()
-	}
-	reply, err := peer.Call(ctx, r.peers, leader.Address, peer.MethodHeartbeat, q)
-	r.handleHeartbeat(leader, reply, err)
-}
-
-// lastStamp returns the stamp of the last reply to a heartbeat and its term, or 0 without one.
-func (r *Router) lastStamp() (time.Duration, int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lastReply.Stamp, r.lastReply.Term
-}
-
-// handleHeartbeat records the reply to a heartbeat and wakes the tracker unless it shows that the store confirms the
-// leader.
-func (r *Router) handleHeartbeat(leader elect.LeaderRecord, reply peer.HeartbeatReply, err error) {
-	if err != nil || !reply.IsLeader || reply.StoreRefusedFor >= minRefusedDuration ||
-		reply.SinceConfirmed > confirmedMaxAge {
-		r.log.Debug("router: heartbeat did not confirm the leader, reading the leader record",
-			zap.String("holder", leader.Name), zap.Bool("holds", reply.IsLeader), zap.Duration("age", reply.SinceConfirmed),
-			zap.Duration("refused", reply.StoreRefusedFor), zap.Error(err))
-		r.tracker.Wake()
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) || err == nil && !reply.IsLeader {
-		r.exitedAt, r.exitedTerm = time.Now(), leader.Term
-	}
-	if err == nil {
-		r.lastReply, r.repliedAt = reply, time.Now()
-	}
-}
-
-// ProcessExited reports whether the process of the leader of a term was recently found to have exited: its address
-// refused a connection, or the process that answers there does not lead.
-func (r *Router) ProcessExited(term int64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.exitedTerm == term && time.Since(r.exitedAt) <= replyTTL
-}
-
-// StoreRefused reports whether the leader of a term reported recently that the store refuses it.
-func (r *Router) StoreRefused(term int64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lastReply.IsLeader && r.lastReply.Term == term && r.lastReply.StoreRefusedFor >= minRefusedDuration &&
-		time.Since(r.repliedAt) <= replyTTL
-}
-
-// Alive reports whether the leader of a term reported recently that it can confirm its leadership in the store.
-func (r *Router) Alive(term int64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lastReply.IsLeader && r.lastReply.Term == term && r.lastReply.SinceConfirmed <= confirmedMaxAge &&
-		r.lastReply.StoreRefusedFor < minRefusedDuration && time.Since(r.repliedAt) <= replyTTL
-}
-
 // Admission is the result of a successful check of a request.
 type Admission struct {
 	Queue work.Queue
@@ -425,11 +342,11 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// RequestContext returns a context that ends replyMargin before the caller's deadline, after which a reply is of no use
-// to the caller, but no sooner than after replyMargin. A deadline of 0 or less means DefaultRequestTimeout.
+// RequestContext returns a context that ends transferMargin before the caller's deadline, after which a reply is of no use
+// to the caller, but no sooner than after transferMargin. A deadline of 0 or less means DefaultRequestTimeout.
 func RequestContext(ctx context.Context, deadline time.Duration) (context.Context, context.CancelFunc) {
 	if deadline <= 0 {
 		deadline = DefaultRequestTimeout
 	}
-	return context.WithTimeout(ctx, max(deadline-replyMargin, replyMargin))
+	return context.WithTimeout(ctx, max(deadline-transferMargin, transferMargin))
 }
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -94,6 +94,8 @@
 	SinceConfirmed  time.Duration `json:"age"`
 	StoreRefusedFor time.Duration `json:"refused,omitempty"`
 	Stamp           time.Duration `json:"stamp,omitempty"`
+	// Interval is the time until the leader wants the next heartbeat; 0 leaves it to the sender.
+	Interval time.Duration `json:"interval,omitempty"`
 }
 
 // Validate returns an error for an invalid message.
@@ -107,8 +109,11 @@
 	Term    int64  `json:"term"`
 }
 
-// AnnounceReply confirms that the announcement was received.
-type AnnounceReply struct{}
+// AnnounceReply confirms that the announcement was received. Term is the latest term that the instance knows; 0 if it
+// does not say so.
+type AnnounceReply struct {
+	Term int64 `json:"term,omitempty"`
+}
 
 // Validate returns an error for an invalid message.
 func (q AnnounceRequest) Validate() error {
@@ -119,7 +124,12 @@
 }
 
 // Validate returns an error for an invalid message.
-func (AnnounceReply) Validate() error { return nil }
+func (a AnnounceReply) Validate() error {
+	if a.Term < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("reply to an announcement with a negative term"))
+	}
+	return nil
+}
 
 // OfferRequest offers leadership to an instance: the leader's address and term, and the delay with which it would stand
 // for election.
@@ -175,8 +185,8 @@
 
 // Validate returns an error for an invalid message.
 func (a HeartbeatReply) Validate() error {
-	if a.Term < 0 || a.SinceConfirmed < 0 || a.Stamp < 0 {
-		return errors.Join(ErrInvalidMessage, errors.New("heartbeat reply with a negative term, age or stamp"))
+	if a.Term < 0 || a.SinceConfirmed < 0 || a.Stamp < 0 || a.Interval < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("heartbeat reply with a negative term, age, stamp or interval"))
 	}
 	return nil
 }
