sched/engine: Memory counts in the demand for machines

Cause: the mover compared pools by CPU alone.

Change: what a pool's long-running tasks take includes the CPU of the machines needed beyond that for memory.

--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -11,7 +11,8 @@
 	Pool string
 	// Running is what finite tasks take now, Waiting what ready ones would take, LongRunning what long-running tasks
 	// take and ready ones would take. The tasks of a first round are ready even before it is due. Best-effort tasks
-	// don't count.
+	// don't count. LongRunning includes the CPU of the machines that the pool needs beyond that for the memory of these
+	// tasks.
 	Running, Waiting, LongRunning int64
 	// Arrived is the estimated work of the jobs submitted in this term, in core-milliseconds. Long-running and
 	// best-effort tasks don't count.
@@ -23,6 +24,7 @@
 // Demands returns the demand for every pool that has queues, runs or waiting tasks, in no particular order.
 func (sc *Scheduler) Demands() []Demand {
 	demands := map[string]*Demand{}
+	memory := map[string]int64{} // of running tasks and waiting long-running ones, by pool
 	at := func(pool string) *Demand {
 		d, ok := demands[pool]
 		if !ok {
@@ -36,6 +38,7 @@
 	}
 	for _, w := range sc.workers {
 		for _, r := range w.runs {
+			memory[w.Pool] += r.need.Memory
 			switch {
 			case r.stepState == nil || r.stepState.spec.BestEffort:
 			case r.stepState.spec.LongRunning:
@@ -52,6 +55,7 @@
 			case s.spec.BestEffort:
 			case s.spec.LongRunning:
 				at(name).LongRunning += waiting
+				memory[name] += s.spec.Need.Memory * int64(s.waiting)
 			default:
 				at(name).Waiting += waiting
 			}
@@ -65,6 +69,11 @@
 			}
 		}
 	}
+	for name, m := range memory {
+		if d := at(name); d.Running+d.LongRunning > 0 {
+			d.LongRunning += max(sc.cpuWithMemory(name, m)-d.Running-d.LongRunning, 0)
+		}
+	}
 	list := make([]Demand, 0, len(demands))
 	for _, d := range demands {
 		list = append(list, *d)
@@ -72,6 +81,20 @@
 	return list
 }
 
+// cpuWithMemory returns the CPU of as many machines of a pool as have an amount of memory.
+func (sc *Scheduler) cpuWithMemory(pool string, memory int64) int64 {
+	var total work.Need
+	for _, w := range sc.index.byPool[pool] {
+		if w.listed && !w.ended {
+			total = total.Plus(w.Capacity)
+		}
+	}
+	if total.Memory == 0 {
+		return 0
+	}
+	return int64(float64(memory) * float64(total.CPU) / float64(total.Memory))
+}
+
 // recordArrival adds the estimated work of all rounds of a submitted job to its pool's arrived work. Best-effort tasks
 // don't count, nor do long-running ones, whose estimate is 0.
 func (sc *Scheduler) recordArrival(j *job) {
