Show operators who leads, its relays, pools and reserve

yuccahaven fleet HOST:PORT asks any instance's metrics address, and through it the leader; /status has the same as JSON, and the metrics have gauges of the leader's work and the delay from a job's acceptance to its first start. docs/OPERATIONS.md says what to look at when starts are late.

--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -456,6 +456,7 @@
 	p.longestEstimate = max(p.longestEstimate, sc.estimate(s.job.Queue, *s.spec))
 	w.reserved = w.reserved.Plus(r.need)
 	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Plus(r.charge)
+	sc.noteFirstStart(s.job, now)
 	s.job.started = true
 	sc.isolate(r)
 	sc.log.Info("engine: starting run", zap.Stringer("task", r.key.Task), zap.Int64("run", number),
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -16,7 +16,6 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/speed"
-	"github.com/yuccahaven/yuccahaven/internal/serve/admin"
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
 	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/serve/router"
@@ -50,6 +49,8 @@
 	// ElectionDelay returns by how much this instance's attempts to acquire leadership are delayed if its process runs
 	// slower than usual by a factor.
 	ElectionDelay func(slowdown float64) time.Duration
+	// Share is the processor time that the process may use, in cores; 0 if that is not known.
+	Share float64
 	// Grace is the time that the shutdown may take.
 	Grace time.Duration
 	// Boot identifies this process among those of the instance.
@@ -72,7 +73,9 @@
 	// router and front are nil until the peers' secret has been read.
 	router       atomic.Pointer[router.Router]
 	front        atomic.Pointer[http.Handler]
+	elector      atomic.Pointer[elect.Elector]
 	shuttingDown atomic.Bool
+	usage        usage
 	leader       *leader.Service
 	speed        *speed.Monitor
 }
@@ -97,7 +100,7 @@
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(h.Log)}
 	ready := &http.Server{Handler: http.HandlerFunc(h.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(h.Log)}
-	metrics := &http.Server{Handler: http.HandlerFunc(h.metrics), ReadHeaderTimeout: headerTimeout,
+	metrics := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout,
 		ErrorLog: zap.NewStdLog(h.Log)}
 	failed := make(chan error, 4)
 	for _, x := range []struct {
@@ -123,6 +126,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { h.WatchRules(runCtx) })
 	loops.Go(func() { h.speed.Run(runCtx) })
+	loops.Go(func() { h.usage.run(runCtx) })
 	loops.Go(func() { h.join(runCtx, peers) })
 	select {
 	case <-ctx.Done():
@@ -151,6 +155,7 @@
 	r := router.New(h.Name, h.Rules, h.leader, client, h.Log)
 	self := elect.Identity{Name: h.Name, Boot: h.Boot, Address: h.Peers}
 	e := elect.NewElector(h.Leader.Store, self, h.leader, r, h.Log)
+	h.elector.Store(e)
 	e.ElectionDelay = h.currentElectionDelay
 	e.ShuttingDown = h.shuttingDown.Load
 	r.SetLeaderTracker(e)
@@ -217,17 +222,17 @@
 
 // ready answers the load balancer's check whether this instance takes connections.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	r := h.router.Load()
-	if h.shuttingDown.Load() || r == nil || r.Config() == nil {
+	if !h.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-func (h *Host) metrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	admin.WriteMetrics(w, h.Registry)
+// isReady reports whether this instance takes callers' requests.
+func (h *Host) isReady() bool {
+	r := h.router.Load()
+	return !h.shuttingDown.Load() && r != nil && r.Config() != nil
 }
 
 // shutDown releases leadership, waits until the load balancer notices and answers the requests in flight, all within
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -44,7 +44,9 @@
 	if !s.steppingDown {
 		commands = s.scheduler.Commands()
 	}
+	delays := s.scheduler.TakeStartDelays()
 	s.mu.Unlock()
+	s.observeStarts(delays)
 	now := time.Now()
 	orders := make([]relay.Order, 0, len(commands))
 	for _, c := range commands {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -84,6 +84,8 @@
 	// epoch is the origin of the stamps in replies to heartbeats.
 	epoch        time.Time
 	orderMetrics orderMetrics
+	gauges       gauges
+	startDelay   metrics.Histogram
 }
 
 // New returns a Service that doesn't lead yet.
@@ -92,7 +94,8 @@
 		o.Registry = metrics.NewRegistry()
 	}
 	return &Service{Options: o, heartbeats: map[string]heartbeat{}, epoch: time.Now(),
-		orderMetrics: newOrderMetrics(o.Registry)}
+		orderMetrics: newOrderMetrics(o.Registry), gauges: newGauges(o.Registry),
+		startDelay: histogram(o.Registry, "start_delay_ms")}
 }
 
 // ErrNotLeader means that this process is not the leader and has done nothing.
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -375,6 +375,7 @@
 	}
 	slices.SortFunc(machines, func(a, b shift.Machine) int { return cmp.Compare(a.Name, b.Name) })
 	moves := m.planner.Decide(time.Now(), demands, machines, spare)
+	s.keepPools(m.planner.Reports())
 	m.logPools(demands)
 	m.scarce = slices.ContainsFunc(m.planner.Reports(), func(r shift.Report) bool { return r.RequiredCPU > r.CPU })
 	for _, x := range moves {
--- a/internal/serve/leader/orders.go
+++ b/internal/serve/leader/orders.go
@@ -16,8 +16,8 @@
 // send sends orders to their workers: through the workers' relays, or from this process for workers without one and for
 // direct renewals.
 func (s *session) send(ctx context.Context, orders []relay.Order) {
-	relayOf := s.relayOf.Load()
-	if relayOf == nil {
+	relayOf, pool := s.relayOf.Load(), s.relays.Load()
+	if relayOf == nil || pool == nil {
 		s.executeAll(ctx, orders)
 		return
 	}
@@ -30,7 +30,7 @@
 		groups[name] = append(groups[name], o)
 	}
 	for name, group := range groups {
-		if name == "" || !s.relays.Send(name, group) {
+		if name == "" || !pool.Send(name, group) {
 			s.executeAll(ctx, group)
 		}
 	}
--- a/internal/serve/leader/relays.go
+++ b/internal/serve/leader/relays.go
@@ -25,20 +25,21 @@
 	if s.service.OpenRelay == nil {
 		return
 	}
-	s.relays = relay.NewPool(relay.Options{Open: s.service.OpenRelay, Term: s.leadership.Term(),
+	pool := relay.NewPool(relay.Options{Open: s.service.OpenRelay, Term: s.leadership.Term(),
 		Fence: s.leadership.FencingToken(), Authority: s.authorityLeft, Deliver: s.handleResults,
 		Registry: s.service.Registry, Log: s.log})
-	defer s.relays.Wait()
+	s.relays.Store(pool)
+	defer pool.Wait()
 	planner := assign.New(s.service.Assign)
 	wanted := assign.Assignment{}
 	pace.Every(ctx, assignInterval, nil, func(ctx context.Context) {
-		states := s.relays.States()
+		states := pool.States()
 		wanted = planner.Decide(s.service.relayCandidates(states), s.relayedWorkers(), wanted)
 		addresses := map[string]string{}
 		for _, r := range planner.Relays() {
 			addresses[r.Name] = s.service.peerAddress(r.Name)
 		}
-		s.relays.SetRelays(ctx, addresses)
+		pool.SetRelays(ctx, addresses)
 		s.useRelays(wanted, states)
 	})
 }
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -12,6 +12,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/pace"
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/plan/assign"
+	"github.com/yuccahaven/yuccahaven/internal/plan/shift"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
@@ -72,8 +73,10 @@
 	// results are those of the orders that this process executes itself.
 	results resultQueue
 	// relays is nil without relays; relayOf names the relay of each worker and is replaced as a whole.
-	relays  *relay.Pool
+	relays  atomic.Pointer[relay.Pool]
 	relayOf atomic.Pointer[assign.Assignment]
+	// pools is the state of the pools at the last decision on moves; mu guards it.
+	pools []shift.Report
 	// done is closed when the session ends.
 	done chan struct{}
 }
--- a/internal/tool/opctl/opctl.go
+++ b/internal/tool/opctl/opctl.go
@@ -64,6 +64,7 @@
 	t.registerKey(app)
 	t.registerReports(app)
 	t.registerExplain(app)
+	t.registerFleet(app)
 	app.Command("version", "Print the version.").Action(func(*kingpin.ParseContext) error {
 		t.print("yuccahaven %s\n", t.version)
 		return nil
--- a/internal/tool/opctl/opctl_test.go
+++ b/internal/tool/opctl/opctl_test.go
@@ -93,6 +93,7 @@
 	s := httptest.NewServer(f)
 	e.Defer(s.Close)
 	e.Setenv("YUCCAHAVEN_SERVER", s.URL)
+	e.Setenv("ADDRESS", s.Listener.Addr().String())
 	e.Setenv("YUCCAHAVEN_CREDENTIAL", "secret")
 	return nil
 }
