leader: Drain machines of a wave beside those in maintenance, those with long-running tasks first

Cause: machines that were being drained counted towards the wave's cap, and those with long-running tasks, which take 8 to 15 s to become empty because the disruption budgets allow few moves at once, came last. Their tasks moved to machines that were still to be maintained, and moved again.

Change: the cap bounds the machines that are down, where a call needs a free place; as many others are drained meanwhile. Machines with long-running tasks are drained first among the busy ones, and such tasks prefer workers that are not due. The observed drain times set the pace.

--- a/internal/plan/waves/waves.go
+++ b/internal/plan/waves/waves.go
@@ -1,9 +1,10 @@
 // Package waves limits the rate of the maintenance of many machines: empty machines go as fast as the cap allows, and
 // busy ones only as fast as it takes to complete the wave in time. While machines are scarce, empty ones go as busy
-// ones.
+// ones. The cap bounds the machines that are down; others are drained meanwhile, so that they can follow.
 package waves
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -11,42 +12,54 @@
 const (
 	// reservedShare is the share of a wave's time that is reserved for delays.
 	reservedShare = 0.3
-	// meanDrainTime is the mean time until a machine that gets no new tasks is empty.
-	meanDrainTime = 2 * time.Second
+	// DefaultDrainTime is the mean time until a machine that gets no new tasks is empty, as long as none has been observed.
+	DefaultDrainTime = 2 * time.Second
 )
 
 // Progress is the progress of a wave.
 type Progress struct {
 	// Pending is the number of machines whose maintenance has not started, InProgress the number of those that are in
-	// maintenance or being drained for it.
-	Pending, InProgress int
-	// Cap bounds InProgress.
+	// maintenance or being drained for it, Draining the number of the latter.
+	Pending, InProgress, Draining int
+	// Cap bounds the machines in maintenance. Those that are being drained are as many at most.
 	Cap int
 	// Elapsed is the time since the wave started, Within the time in which it must complete.
 	Elapsed, Within time.Duration
-	// Maintenance is how long the maintenance of one machine takes.
-	Maintenance time.Duration
+	// Maintenance is how long the maintenance of one machine takes, DrainTime how long it takes until a busy one is empty;
+	// 0 means DefaultDrainTime.
+	Maintenance, DrainTime time.Duration
 	// Scarce means that some pool has less CPU than it needs.
 	Scarce bool
 }
 
-// RequiredParallelism returns how many machines must be in progress at once so that the wave completes in time, at most
-// Cap. It is Cap if the remaining time is too short for one more machine.
+// RequiredParallelism returns how many machines must be in progress at once so that the wave completes in time: at most
+// as many as may be in maintenance and being drained. It is that if the remaining time is too short for one more machine.
 func (p Progress) RequiredParallelism() int {
+	most := 2 * p.Cap
 	remaining := time.Duration(float64(p.Within)*(1-reservedShare)) - p.Elapsed
-	perMachine := p.Maintenance + meanDrainTime
+	perMachine := p.Maintenance + cmp.Or(p.DrainTime, DefaultDrainTime)
 	if remaining <= perMachine {
-		return p.Cap
+		return most
 	}
 	rounds := float64(remaining) / float64(perMachine)
-	return min(p.Cap, int(math.Ceil(float64(p.Pending+p.InProgress)/rounds)))
+	return min(most, int(math.Ceil(float64(p.Pending+p.InProgress)/rounds)))
 }
 
-// Allows reports whether the maintenance of one more machine may start now. Empty machines are limited only by the cap,
-// unless machines are scarce.
+// Allows reports whether one more machine may be taken for its maintenance now. Empty machines are limited only by the
+// cap, unless machines are scarce; others are drained first.
 func (p Progress) Allows(empty bool) bool {
-	if empty && !p.Scarce {
-		return p.InProgress < p.Cap
+	if empty && p.InProgress-p.Draining >= p.Cap || !empty && p.Draining >= p.Cap {
+		return false
 	}
-	return p.InProgress < p.RequiredParallelism()
+	return empty && !p.Scarce || p.InProgress < p.RequiredParallelism()
+}
+
+// Take returns the progress with one more machine taken.
+func (p Progress) Take(empty bool) Progress {
+	p.Pending--
+	p.InProgress++
+	if !empty {
+		p.Draining++
+	}
+	return p
 }
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -100,6 +100,8 @@
 	exceeded []candidate
 	// held are the workers that are kept free for suspects.
 	held []*worker
+	// due are the workers whose machines are to be maintained soon.
+	due []*worker
 	// startDelays are how long jobs waited for their first start, since the last TakeStartDelays.
 	startDelays []time.Duration
 	// touched are the workers whose next renewal may have changed.
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -279,6 +279,7 @@
 	weightFailureRate   = 20
 	weightWarmUp        = 10
 	weightInterference  = 30
+	weightDue           = 15
 	weightSameStep      = 5
 )
 
@@ -309,6 +310,9 @@
 		// Finite tasks go to the fullest worker that fits them, so that machines become empty and can be moved.
 		return score + used
 	}
+	if w.due {
+		score -= weightDue
+	}
 	// Long-running tasks of one kind, best effort or not, share workers, away from those of the other kind, because the
 	// two kinds interfere with each other.
 	bestEffort, others := w.countLongRunning()
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -61,7 +61,7 @@
 // as applied, "settle" reports the outcome of one; "next" prepares a renewal, "look" and "unanswered" deliver a reply
 // to it, with "born" one of that incarnation, or none, "advise" replies to the last ticket request; "ready" lets every
 // worker report empty run lists and commits a batch; "confirmed" confirms leadership as of now, before the first of them
-// leases expire unconditionally; "hold" cordons a worker, "close" closes it, "out" evacuates a zone.
+// leases expire unconditionally; "hold" cordons a worker, "close" closes it, "due" names the workers to be maintained soon, "out" evacuates a zone.
 func (s *script) run(d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "config":
@@ -120,6 +120,12 @@
 		return strconv.Itoa(s.scheduler.Waiting(d.CmdArgs[0].Key))
 	case "hold":
 		s.scheduler.Cordon(work.WorkerID(d.CmdArgs[0].Key), !d.HasArg("off"))
+	case "due":
+		var ids []work.WorkerID
+		for _, a := range d.CmdArgs {
+			ids = append(ids, work.WorkerID(a.Key))
+		}
+		s.scheduler.SetDue(ids)
 	case "close":
 		s.scheduler.Close(work.WorkerID(d.CmdArgs[0].Key), !d.HasArg("off"))
 	case "out":
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -59,6 +59,8 @@
 	// cordoned means that the worker is about to be taken away and gets no new tasks but long-running ones that fit
 	// nowhere else and need no ticket.
 	cordoned bool
+	// due means that the worker's machine is to be maintained soon.
+	due bool
 	// closed means that the worker may be taken away at any moment and gets no new tasks at all.
 	closed bool
 	// failureRate is the moving average of failed runs among recent ones, for the choice between workers.
@@ -286,6 +288,21 @@
 	}
 }
 
+// SetDue sets which workers' machines are to be maintained soon: long-running tasks start elsewhere if they can, since they
+// would have to move again.
+func (sc *Scheduler) SetDue(ids []work.WorkerID) {
+	for _, w := range sc.due {
+		w.due = false
+	}
+	sc.due = sc.due[:0]
+	for _, id := range ids {
+		if w, ok := sc.workers[id]; ok {
+			w.due = true
+			sc.due = append(sc.due, w)
+		}
+	}
+}
+
 // Close keeps every new task away from a worker that may be taken away at any moment, or lifts that. MarkWorkerEnded
 // must find no run there: the platform confirms an operation also if it took place before this worker started.
 func (sc *Scheduler) Close(id work.WorkerID, closed bool) {
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -90,7 +90,7 @@
 	// pool is the target pool of a move, wave the number of a maintenance wave; one of them is set.
 	pool string
 	wave int64
-	// plannedAt is when a move was decided.
+	// plannedAt is when the operation was decided.
 	plannedAt time.Time
 	// sentAt is the time of the last call, calling is set until it returns; startedAt is when a call succeeded, zero
 	// before that.
@@ -254,6 +254,9 @@
 				continue
 			}
 		}
+		if !m.mayGoDown(op) {
+			continue
+		}
 		op.calling, op.sentAt = true, now
 		m.session.scheduler.Close(work.WorkerID(op.worker), true)
 		due = append(due, op)
--- a/internal/serve/leader/wave_test.go
+++ b/internal/serve/leader/wave_test.go
@@ -136,3 +136,101 @@
 		}
 	})
 }
+
+// passingMachines are machines of which some run a worker. A maintenance takes upkeepTime, after which the machine is back;
+// that of a machine with a worker ends the worker's runs.
+type passingMachines struct {
+	idleMachines
+	crash, restart func(work.WorkerID)
+
+	until map[string]time.Time
+	// most is the largest number of machines in maintenance at once.
+	most int
+}
+
+const upkeepTime = 2 * time.Second
+
+// List implements leader.Machines.
+func (m *passingMachines) List(ctx context.Context) ([]leader.Machine, error) {
+	list, err := m.idleMachines.List(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, x := range list {
+		list[i].InMaintenance = time.Now().Before(m.until[x.Name])
+		list[i].Up = !list[i].InMaintenance
+	}
+	return list, err
+}
+
+// Maintain implements leader.Machines.
+func (m *passingMachines) Maintain(_ context.Context, machine string, _, _ int64) leader.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.maintained[machine]++
+	m.until[machine] = time.Now().Add(upkeepTime)
+	down := 0
+	for _, until := range m.until {
+		if time.Now().Before(until) {
+			down++
+		}
+	}
+	m.most = max(m.most, down)
+	if machine[0] == 'w' {
+		id := work.WorkerID(machine)
+		m.crash(id)
+		time.AfterFunc(upkeepTime, func() { m.restart(id) })
+	}
+	return leader.Started
+}
+
+// after returns the step before a step, if any.
+func after(step int) []int {
+	if step == 0 {
+		return nil
+	}
+	return []int{step - 1}
+}
+
+// Load pattern: a wave of idle and busy machines, the latter with tasks of many seconds. Guards against more machines down
+// at once than the cap while others are being drained, and against a wave that overruns its time.
+func TestWaveDrainsBesideMaintenance(t *testing.T) {
+	machines := &passingMachines{idleMachines: idleMachines{count: 30, maintained: map[string]int{}},
+		until: map[string]time.Time{}}
+	testClusterOf(t, 1, func(o *leader.Options) {
+		o.Machines = machines
+		o.Moves = leader.MoveOptions{Maintenance: upkeepTime, Shift: shift.Default()}
+	}, func(c *cluster) {
+		machines.crash, machines.restart = c.fakeWorkers.Crash, c.fakeWorkers.Restart
+		c.fakeWorkers.SetRunTime(8 * time.Second)
+		wave := rules.Wave{Number: 1, Cap: 4, Within: 24 * time.Second}
+		for i := range 4 {
+			j := work.Job{ID: work.JobID(fmt.Sprintf("%016x", i)), Queue: "q", Customer: "c", Accepted: time.Now().UnixMilli()}
+			for range 6 {
+				// Each task starts on the worker of the one before while others are busy.
+				j.Steps = append(j.Steps, work.Step{Count: 1, Need: work.Need{CPU: 3000}, After: after(len(j.Steps))})
+			}
+			c.submit(context.Background(), j)
+			wave.Machines = append(wave.Machines, fmt.Sprintf("w%d", i))
+		}
+		time.Sleep(time.Second)
+		for i := range machines.count {
+			wave.Machines = append(wave.Machines, machines.name(i))
+		}
+		c.rules.AddWave(wave)
+		began := time.Now()
+		for len(machines.maintained) < len(wave.Machines) && time.Since(began) < wave.Within {
+			time.Sleep(100 * time.Millisecond)
+		}
+		if took := time.Since(began); len(machines.maintained) < len(wave.Machines) || took >= wave.Within {
+			t.Errorf("%d of %d machines after %v", len(machines.maintained), len(wave.Machines), took)
+		}
+		if machines.most > wave.Cap {
+			t.Errorf("%d machines were down at once, the cap is %d", machines.most, wave.Cap)
+		}
+		for name, n := range machines.maintained {
+			if n != 1 {
+				t.Errorf("the maintenance of %s began %d times", name, n)
+			}
+		}
+	})
+}
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -27,6 +27,10 @@
 	FirstSeen int64 `json:"began"`
 	// Completed means that a report of the wave's completion has succeeded.
 	Completed bool `json:"completed"`
+	// limit is the wave's cap, down the number of its machines that are or may be in maintenance; drainTime is the moving
+	// average of the times that busy machines took to become empty.
+	limit, down int
+	drainTime   time.Duration
 	// reporting means that a report to the platform is in progress, reported that one has succeeded.
 	reporting bool
 	reported  bool
@@ -97,6 +101,7 @@
 	if m.awaitsFormerCalls() {
 		return
 	}
+	var due []work.WorkerID
 	for number, w := range current.Waves {
 		state, ok := m.waves[number]
 		if !ok {
@@ -106,13 +111,15 @@
 		if state.Completed {
 			continue
 		}
-		m.planWave(ctx, w, state)
+		due = append(due, m.planWave(ctx, w, state)...)
 	}
+	m.session.scheduler.SetDue(due)
 }
 
-func (m *mover) planWave(ctx context.Context, w rules.Wave, state *waveState) {
+// planWave does that for one wave and returns the workers of the machines that are still to be maintained.
+func (m *mover) planWave(ctx context.Context, w rules.Wave, state *waveState) []work.WorkerID {
 	var pending []Machine
-	inProgress, otherWork := 0, 0
+	inProgress, draining, otherWork := 0, 0, 0
 	for _, name := range w.Machines {
 		x, ok := m.machines[name]
 		op := m.operations[name]
@@ -124,34 +131,42 @@
 			otherWork++
 		case waves.InProgress:
 			inProgress++
+			if op != nil && op.wave == w.Number && op.sentAt.IsZero() {
+				draining++
+			}
 		case waves.Finished:
 		}
 	}
 	if len(pending)+inProgress+otherWork == 0 {
 		m.reportWave(ctx, w.Number, state, true)
-		return
+		return nil
 	}
 	m.reportWave(ctx, w.Number, state, false)
 	slices.SortFunc(pending, func(a, b Machine) int {
 		return cmp.Or(cmp.Compare(m.effort(a), m.effort(b)), cmp.Compare(a.Name, b.Name))
 	})
-	progress := waves.Progress{Pending: len(pending), InProgress: inProgress, Cap: w.Cap, Within: w.Within,
-		Scarce: m.scarce, Elapsed: time.Since(time.UnixMilli(state.FirstSeen)),
-		Maintenance: m.session.service.Moves.Maintenance}
+	state.limit, state.down = w.Cap, inProgress-draining
+	progress := waves.Progress{Pending: len(pending), InProgress: inProgress, Draining: draining, Cap: w.Cap,
+		Within: w.Within, Scarce: m.scarce, Elapsed: time.Since(time.UnixMilli(state.FirstSeen)),
+		Maintenance: m.session.service.Moves.Maintenance, DrainTime: state.drainTime}
+	var due []work.WorkerID
 	for _, x := range pending {
+		if x.Worker != "" {
+			due = append(due, work.WorkerID(x.Worker))
+		}
 		r := m.session.scheduler.Usage(work.WorkerID(x.Worker))
-		if !x.Up || r.Leaving || time.Now().Before(m.busyUntil[x.Name]) || !m.mayOperate(x) ||
-			!progress.Allows(r.Runs == 0 && (r.Known || r.Ended)) {
+		empty := r.Runs == 0 && (r.Known || r.Ended)
+		if !x.Up || r.Leaving || time.Now().Before(m.busyUntil[x.Name]) || !m.mayOperate(x) || !progress.Allows(empty) {
 			continue
 		}
-		progress.Pending--
-		progress.InProgress++
+		progress = progress.Take(empty)
 		m.session.log.Info("leader: starting the maintenance of a machine once it is empty", zap.String("machine", x.Name),
 			zap.String("pool", x.Pool), zap.Int64("wave", w.Number), zap.Int("runs", r.Runs), zap.Int("lasting", r.LongRunning),
 			zap.Int("left", progress.Pending), zap.Int("down", progress.InProgress), zap.Bool("scarce", m.scarce))
-		m.operations[x.Name] = &operation{machine: x.Name, worker: x.Worker, wave: w.Number}
+		m.operations[x.Name] = &operation{machine: x.Name, worker: x.Worker, wave: w.Number, plannedAt: time.Now()}
 		m.session.scheduler.Cordon(work.WorkerID(x.Worker), true)
 	}
+	return due
 }
 
 // clockSkewMargin bounds the difference between the clocks of instances and workers.
@@ -173,18 +188,40 @@
 		time.Since(time.UnixMilli(incarnation)) >= time.Since(m.startedAt)+takeoverPause+clockSkewMargin
 }
 
-// effort ranks machines for maintenance: machines that are off or empty come first, those with long-running tasks last.
+// effort ranks machines for maintenance: machines that are off or empty come first. Those with long-running tasks come
+// before the other busy ones, because they take longest to become empty.
 func (m *mover) effort(x Machine) int {
 	r := m.session.scheduler.Usage(work.WorkerID(x.Worker))
 	switch {
 	case r.Runs == 0:
 		return 0
-	case r.LongRunning == 0:
+	case r.LongRunning > 0:
 		return 1
 	}
 	return 2
 }
 
+// drainGain is the weight of a new drain time in the moving average.
+const drainGain = 1.0 / 8
+
+// mayGoDown reports whether an operation on an empty machine may start within the cap of its wave, and counts the machine
+// as down if so.
+func (m *mover) mayGoDown(op *operation) bool {
+	state := m.waves[op.wave]
+	if op.wave == 0 || state == nil || !op.sentAt.IsZero() {
+		return true
+	}
+	if state.down >= state.limit {
+		return false
+	}
+	state.down++
+	if d := time.Since(op.plannedAt); d > moveInterval {
+		state.drainTime = cmp.Or(state.drainTime, waves.DefaultDrainTime)
+		state.drainTime += time.Duration(drainGain * float64(d-state.drainTime))
+	}
+	return true
+}
+
 // reportWave reports in the background that a wave is running or completed; a later pass repeats a failed report.
 func (m *mover) reportWave(ctx context.Context, number int64, state *waveState, completed bool) {
 	if state.reporting || state.Completed || !completed && state.reported {
