--- a/internal/lab/fakes/table.go
+++ b/internal/lab/fakes/table.go
@@ -92,6 +92,8 @@
 type Faults struct {
 	// Down makes every request fail without effect.
 	Down bool
+	// RefuseScans makes every scan fail.
+	RefuseScans bool
 	// Delay is the duration of a request; half of it passes before the request takes effect.
 	Delay time.Duration
 	// Lose counts the next commits that take effect without a reply, Drop those that are discarded, and Late
@@ -131,6 +133,12 @@
 
 // Scan implements table.Reader.
 func (l *Link) Scan(ctx context.Context, prefix, after string, limit int) ([]table.Item, error) {
+	l.mu.Lock()
+	refused := l.faults.RefuseScans
+	l.mu.Unlock()
+	if refused {
+		return nil, table.ErrUnavailable
+	}
 	return read(ctx, l, func() []table.Item { return l.currentTable().scan(prefix, after, limit) })
 }
 
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -101,9 +101,6 @@
 // ErrNotLeader means that this process is not the leader and has done nothing.
 var ErrNotLeader = errors.New("leader: this process is not the leader")
 
-// loadBackoff is the pause after a failed read of the stored state.
-const loadBackoff = 200 * time.Millisecond
-
 // Lead implements elect.Candidate.
 func (s *Service) Lead(ctx context.Context, l *elect.Leadership) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -114,6 +111,7 @@
 	items, err := s.load(ctx, l)
 	if err != nil {
 		s.Log.Warn("leader: loading the stored state failed, giving up this term", zap.Error(err))
+		s.releaseAfterFailure(l)
 		return
 	}
 	ss := newSession(s, l)
@@ -133,48 +131,6 @@
 	s.session, s.leadership = ss, l
 }
 
-// load reads the whole stored state and confirms leadership after each prefix. It repeats reads while the store is
-// unavailable, until loadTimeout.
-func (s *Service) load(ctx context.Context, l *elect.Leadership) ([]table.Item, error) {
-	var items []table.Item
-	for _, prefix := range []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, prefixWave, prefixOperation} {
-		after := ""
-		for {
-			page, err := s.Store.Scan(ctx, prefix, after, scanPageSize)
-			switch {
-			case ctx.Err() != nil:
-				return nil, ctx.Err()
-			case errors.Is(err, table.ErrUnavailable):
-				s.Log.Warn("leader: reading the stored state failed, retrying", zap.String("prefix", prefix), zap.Error(err))
-				time.Sleep(loadBackoff)
-				if l.SinceConfirmed() > loadTimeout {
-					return nil, err
-				}
-				continue
-			case err != nil:
-				return nil, err
-			}
-			items = append(items, page...)
-			if len(page) == 0 {
-				break
-			}
-			after = page[len(page)-1].Key
-		}
-		if _, err := l.Commit(ctx, nil); err != nil {
-			return nil, err
-		}
-	}
-	return items, nil
-}
-
-const (
-	// scanPageSize is the largest number of rows that the store returns in one scan.
-	scanPageSize = 500
-	// loadTimeout is the time since the last confirmation of leadership after which a failed read during the load ends
-	// the term.
-	loadTimeout = 5 * time.Second
-)
-
 // current returns the session, or nil if this process is not the leader or still loads the stored state.
 func (s *Service) current() *session {
 	s.mu.Lock()
--- a/internal/serve/router/heartbeat.go
+++ b/internal/serve/router/heartbeat.go
@@ -18,6 +18,8 @@
 	heartbeatInterval    = 400 * time.Millisecond
 	maxHeartbeatInterval = 10 * time.Second
 	heartbeatTimeout     = 350 * time.Millisecond
+	// firstHeartbeatPause is the time between two checks whether a leader is known, until the first heartbeat.
+	firstHeartbeatPause = 20 * time.Millisecond
 	// replyMargin is how much longer than until the next heartbeat the outcome of one counts as evidence of the leader's
 	// state.
 	replyMargin = 500 * time.Millisecond
@@ -50,6 +52,10 @@
 		if now := time.Now(); next.Before(now) {
 			next = now
 		}
+		if _, known := r.tracker.Leader(); !known {
+			// The first heartbeat shows whether the process of the leader still runs, so it must not wait.
+			next = time.Now().Add(firstHeartbeatPause)
+		}
 		select {
 		case <-time.After(time.Until(next)):
 		case <-ctx.Done():
--- a/internal/state/elect/elect.go
+++ b/internal/state/elect/elect.go
@@ -31,6 +31,8 @@
 	readInterval = 250 * time.Millisecond
 	// aliveReadInterval is the longest time between two reads while the leader is alive and nothing wakes the elector.
 	aliveReadInterval = 3 * time.Second
+	// failureBackoff is how long an instance does not stand for election after it could not do the leader's work.
+	failureBackoff = 3 * time.Second
 	// maxAcquireJitter bounds the random delay that spreads the attempts of instances to acquire leadership.
 	maxAcquireJitter = 120 * time.Millisecond
 )
@@ -72,6 +74,8 @@
 	// time means that this is unknown.
 	version        uint64
 	unchangedSince time.Time
+	// failedAt is when this instance last gave up leadership because it could not do the leader's work.
+	failedAt time.Time
 }
 
 // NewElector returns an elector.
@@ -197,7 +201,7 @@
 }
 
 func (e *Elector) acquire(ctx context.Context, item table.Item) {
-	if e.ShuttingDown != nil && e.ShuttingDown() {
+	if e.ShuttingDown != nil && e.ShuttingDown() || !e.failedAt.IsZero() && time.Since(e.failedAt) < failureBackoff {
 		return
 	}
 	if !e.hasOffer(e.knownTerm()) {
@@ -216,6 +220,9 @@
 	r := l.record
 	e.record.Store(&r)
 	e.Candidate.Lead(ctx, l)
+	if l.failed.Load() {
+		e.failedAt = time.Now()
+	}
 	e.Log.Info("elect: leadership released", zap.Int64("term", l.Term()), zap.Bool("lost", l.Lost()))
 	e.unchangedSince = time.Time{}
 }
--- a/internal/state/elect/leadership.go
+++ b/internal/state/elect/leadership.go
@@ -41,6 +41,8 @@
 	// in nanoseconds since epoch; 0 means that it has not.
 	refusedSince atomic.Int64
 	lost         atomic.Bool
+	// failed means that this process can't do the leader's work now.
+	failed atomic.Bool
 	// logged is the value of Logged in the leader records that this process writes, formerLogged that in the record of
 	// its predecessor; without a predecessor both are true.
 	logged       atomic.Bool
@@ -111,6 +113,9 @@
 // MarkLost records that another instance is known to lead in a later term.
 func (l *Leadership) MarkLost() { l.lost.Store(true) }
 
+// MarkFailed records that this process can't do the leader's work now, so that it does not stand for election for a while.
+func (l *Leadership) MarkFailed() { l.failed.Store(true) }
+
 // FormerLogged reports whether the store has a record of the machine operations of former leaders.
 func (l *Leadership) FormerLogged() bool { return l.formerLogged }
 
