--- a/internal/serve/leader/oplog_test.go
+++ b/internal/serve/leader/oplog_test.go
@@ -130,8 +130,7 @@
 func TestOperationIsRecordedBeforeItStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &recordedMachines{spareMachines: newSpareMachines(100)}
-		var c *cluster
-		c = newClusterOf(t, 1, 1, func(o *leader.Options) {
+		c := newClusterOf(t, 1, 1, func(o *leader.Options) {
 			m.workers = o.Fleet.(*fakes.Workers).List()
 			o.Machines, o.Moves = m, leader.MoveOptions{TakeoverPause: testTakeoverPause, Shift: shift.Default(),
 				Move: moveTime}
