--- a/internal/serve/leader/history_test.go
+++ b/internal/serve/leader/history_test.go
@@ -109,16 +109,19 @@
 
 func (c *cluster) start(e *entry) {
 	ctx, cancel := context.WithCancel(context.Background())
-	e.stop, e.done, e.ctx = cancel, make(chan struct{}), ctx
+	e.stop, e.done = cancel, make(chan struct{})
 	c.processes++
 	o := leader.Options{Store: e.link, Clock: c.store, Workers: e.workers, Fleet: c.fakeWorkers, Rules: c.rules,
 		Scheduler: engine.DefaultOptions(), ElectionDelay: e.electionDelay, Log: zap.NewNop(),
 		OfferLeadership: func(_ context.Context, address string, delay time.Duration) (bool, error) {
 			return c.offer(e.name, address, delay), nil
 		}}
+	c.mu.Lock()
+	e.ctx = ctx
 	if c.relayed {
 		c.addRelay(e, &o)
 	}
+	c.mu.Unlock()
 	c.adjust(&o)
 	s := leader.New(o)
 	e.service.Store(s)
--- a/internal/serve/leader/slowstore_test.go
+++ b/internal/serve/leader/slowstore_test.go
@@ -114,7 +114,7 @@
 				c.submit(ctx, work.Job{ID: work.JobID(fmt.Sprintf("%016x", 1<<32+turn)), Queue: "q", Customer: "c",
 					Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 40 << turn, Need: work.Need{CPU: 1000}}}})
 			})
-			for len(m.moved) == 0 && time.Since(began) < 10*time.Second {
+			for m.firstMove().IsZero() && time.Since(began) < 10*time.Second {
 				time.Sleep(10 * time.Millisecond)
 			}
 			worst = max(worst, time.Since(began))
--- a/internal/serve/leader/wave_test.go
+++ b/internal/serve/leader/wave_test.go
@@ -183,6 +183,13 @@
 	return leader.Started
 }
 
+// begun returns the number of machines whose maintenance has begun.
+func (m *passingMachines) begun() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.maintained)
+}
+
 // after returns the step before a step, if any.
 func after(step int) []int {
 	if step == 0 {
@@ -218,9 +225,11 @@
 		}
 		c.rules.AddWave(wave)
 		began := time.Now()
-		for len(machines.maintained) < len(wave.Machines) && time.Since(began) < wave.Within {
+		for machines.begun() < len(wave.Machines) && time.Since(began) < wave.Within {
 			time.Sleep(100 * time.Millisecond)
 		}
+		machines.mu.Lock()
+		defer machines.mu.Unlock()
 		if took := time.Since(began); len(machines.maintained) < len(wave.Machines) || took >= wave.Within {
 			t.Errorf("%d of %d machines after %v", len(machines.maintained), len(wave.Machines), took)
 		}
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -85,6 +85,12 @@
 	opened int
 }
 
+// pass lets a time pass, and waits until everything that was due has been done.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // testRelay runs a test on a leader with a relay that takes orders.
 func testRelay(t *testing.T, f func(s *setup)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -112,7 +118,7 @@
 				return l, nil
 			}})
 		s.pool.SetRelays(ctx, map[string]string{"r": "r:1"})
-		time.Sleep(time.Second)
+		pass(time.Second)
 		f(s)
 		cancel()
 		s.pool.Wait()
@@ -141,7 +147,7 @@
 		if !s.pool.Send("r", orders) {
 			t.Fatal("the relay takes no orders")
 		}
-		time.Sleep(20 * time.Millisecond)
+		pass(20 * time.Millisecond)
 		if got := s.outcomes(); got[engine.Applied] != 8 {
 			t.Errorf("outcomes after 20 ms: %v", got)
 		}
@@ -160,7 +166,7 @@
 			s.workers.outcome = outcome
 			before := s.outcomes()[want]
 			s.pool.Send("r", []relay.Order{start(1)})
-			time.Sleep(20 * time.Millisecond)
+			pass(20 * time.Millisecond)
 			if s.outcomes()[want] != before+1 {
 				t.Errorf("%v becomes %v", outcome, s.outcomes())
 			}
@@ -175,11 +181,11 @@
 			LeaseEnd: 6000, Wait: 150 * time.Millisecond}}
 		s.workers.endsAt = time.Now().Add(500 * time.Millisecond)
 		s.pool.Send("r", []relay.Order{renewal})
-		time.Sleep(490 * time.Millisecond)
+		pass(490 * time.Millisecond)
 		if got := s.outcomes(); len(got) != 0 {
 			t.Errorf("reported before the end: %v", got)
 		}
-		time.Sleep(30 * time.Millisecond)
+		pass(30 * time.Millisecond)
 		if got := s.outcomes(); got[engine.Applied] != 1 || len(s.results[0].Reply.Ended) != 1 {
 			t.Errorf("20 ms after the end: %v", got)
 		}
@@ -192,9 +198,9 @@
 	testRelay(t, func(s *setup) {
 		s.leader.Hold(true)
 		s.pool.Send("r", []relay.Order{start(1)})
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		s.leader.Hold(false)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if n := len(s.workers.starts); n > 0 {
 			t.Errorf("%d tasks were started 3 s after the order was sent", n)
 		}
@@ -206,7 +212,7 @@
 	testRelay(t, func(s *setup) {
 		s.authority = 0
 		s.pool.Send("r", []relay.Order{start(1)})
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if got := s.outcomes(); len(s.workers.starts) > 0 || got[engine.Withheld] != 1 {
 			t.Errorf("%d starts, outcomes %v", len(s.workers.starts), got)
 		}
@@ -218,7 +224,7 @@
 	testRelay(t, func(s *setup) {
 		s.knownTerm = 4
 		s.pool.Send("r", []relay.Order{start(1)})
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if got := s.outcomes(); len(s.workers.starts) > 0 || got[engine.Withheld] != 1 {
 			t.Errorf("%d starts, outcomes %v", len(s.workers.starts), got)
 		}
@@ -231,11 +237,11 @@
 	testRelay(t, func(s *setup) {
 		s.relay.Hold(true)
 		s.pool.Send("r", []relay.Order{start(1)})
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if got := s.outcomes(); got[engine.RelayLost] != 1 {
 			t.Errorf("outcomes 1 s after the relay fell silent: %v", got)
 		}
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if s.opened != 2 || !s.pool.Send("r", []relay.Order{start(2)}) {
 			t.Errorf("%d streams were opened, state %+v", s.opened, s.pool.States())
 		}
@@ -247,7 +253,7 @@
 	testRelay(t, func(s *setup) {
 		s.pool.Send("r", []relay.Order{start(1)})
 		_ = s.leader.Close()
-		time.Sleep(time.Second)
+		pass(time.Second)
 		got := s.outcomes()
 		if total := got[engine.RelayLost] + got[engine.Withheld]; total != 1 {
 			t.Errorf("outcomes: %v", got)
@@ -266,7 +272,7 @@
 		if s.pool.Send("r", []relay.Order{start(2)}) {
 			t.Error("a relay that is no longer one takes orders")
 		}
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if got := s.outcomes(); got[engine.Applied] != 1 {
 			t.Errorf("outcomes: %v", got)
 		}
@@ -278,11 +284,11 @@
 func TestRelayWithoutOrders(t *testing.T) {
 	testRelay(t, func(s *setup) {
 		s.leader.Hold(true)
-		time.Sleep(2 * time.Second)
+		pass(2 * time.Second)
 		if s.opened != 2 || !s.pool.Send("r", []relay.Order{start(1)}) {
 			t.Fatalf("%d streams were opened, state %+v", s.opened, s.pool.States())
 		}
-		time.Sleep(100 * time.Millisecond)
+		pass(100 * time.Millisecond)
 		if got := s.outcomes(); got[engine.Applied] != 1 {
 			t.Errorf("outcomes through the second stream: %v", got)
 		}
