leader: Log once a second what the leader did and what waits

Cause: the log could not tell too many tasks, slow planning and too little processor time apart.

Change: a line with planning passes, their time, orders, renewals, results, cores in use, waiting tasks, runs and the bound on outstanding starts.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -84,6 +84,7 @@
 func New(o Options) *Host {
 	h := &Host{Options: o, speed: speed.NewMonitor(o.Registry, o.Log)}
 	o.Leader.ElectionDelay = h.currentElectionDelay
+	o.Leader.Cores = h.usage.cores
 	h.leader = leader.New(o.Leader)
 	return h
 }
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -40,6 +40,7 @@
 		return
 	}
 	s.mu.Lock()
+	began := time.Now()
 	var commands []engine.Command
 	if !s.steppingDown {
 		commands = s.scheduler.Commands()
@@ -48,6 +49,8 @@
 	s.mu.Unlock()
 	s.observeStarts(delays)
 	now := time.Now()
+	s.work.passes.Add(1)
+	s.work.planning.Add(int64(now.Sub(began)))
 	orders := make([]relay.Order, 0, len(commands))
 	for _, c := range commands {
 		if r, ok := c.(engine.TicketRequest); ok {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -65,6 +65,8 @@
 	// options of the choice of relays.
 	OpenRelay func(ctx context.Context, address string) (relay.OrderStream, error)
 	Assign    assign.Options
+	// Cores returns the processor time that this process used in the last second, in cores; nil if that is not known.
+	Cores func() float64
 	// Registry may be nil; then the Service creates one.
 	Registry metrics.Registry
 	Log      *zap.Logger
--- a/internal/serve/leader/orders.go
+++ b/internal/serve/leader/orders.go
@@ -16,6 +16,7 @@
 // send sends orders to their workers: through the workers' relays, or from this process for workers without one and for
 // direct renewals.
 func (s *session) send(ctx context.Context, orders []relay.Order) {
+	s.work.orders.Add(int64(len(orders)))
 	relayOf, pool := s.relayOf.Load(), s.relays.Load()
 	if relayOf == nil || pool == nil {
 		s.executeAll(ctx, orders)
@@ -94,6 +95,10 @@
 	fenced, changed := false, false
 	s.mu.Lock()
 	now := time.Now()
+	defer func() {
+		s.work.results.Add(int64(len(results)))
+		s.work.handling.Add(int64(time.Since(now)))
+	}()
 	for _, r := range results {
 		fenced = fenced || r.Outcome == engine.Fenced
 		changed = changed || r.Command == nil || r.Outcome != engine.Applied
--- a/internal/serve/leader/renewals.go
+++ b/internal/serve/leader/renewals.go
@@ -120,6 +120,7 @@
 func (s *session) renewalLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		orders, next := s.dueRenewals()
+		s.work.renewals.Add(int64(len(orders)))
 		s.send(ctx, orders)
 		select {
 		case <-time.After(renewalPause):
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -75,6 +75,8 @@
 	// relays is nil without relays; relayOf names the relay of each worker and is replaced as a whole.
 	relays  atomic.Pointer[relay.Pool]
 	relayOf atomic.Pointer[assign.Assignment]
+	// work is what was done since the last report in the log.
+	work loadLog
 	// pools is the state of the pools at the last decision on moves; mu guards it.
 	pools []shift.Report
 	// done is closed when the session ends.
@@ -99,7 +101,7 @@
 	defer close(s.done)
 	var loops sync.WaitGroup
 	for _, f := range []func(context.Context){s.watchRules, s.watchFleet, s.planLoop, s.tickLoop, s.moveLoop,
-		s.handoverLoop, s.askLoop, s.renewalLoop, s.resultLoop, s.relayLoop} {
+		s.handoverLoop, s.askLoop, s.renewalLoop, s.resultLoop, s.relayLoop, s.loadLoop} {
 		loops.Go(func() { f(ctx) })
 	}
 	s.commitLoop(ctx)
