sched/engine: Planning passes in a turn look at freed workers only

Half of it was the work of running tasks by customer, which followed pointers to each run's step and job; the rest comparisons of each task with each worker, and customers' names looked up in maps.

Change: workers without capacity for the smallest waiting need are left out; finite tasks without a preferred rack share one order of the others by score. Each worker keeps what shares need of its finite runs in one slice; the expected end of a run is now fixed at its start. A property test compares placements with those of a scan of all workers.

--- a/internal/model/work/need.go
+++ b/internal/model/work/need.go
@@ -19,6 +19,11 @@
 	return Need{max(n.CPU, o.CPU), max(n.Memory, o.Memory), max(n.GPU, o.GPU)}
 }
 
+// Min returns the smaller amount of each resource.
+func (n Need) Min(o Need) Need {
+	return Need{min(n.CPU, o.CPU), min(n.Memory, o.Memory), min(n.GPU, o.GPU)}
+}
+
 // Times returns the total need of a number of equal tasks.
 func (n Need) Times(count int) Need {
 	c := int64(count)
--- a/internal/sched/engine/candidates_test.go
+++ b/internal/sched/engine/candidates_test.go
@@ -150,17 +150,26 @@
 		}
 		eligible = sc.narrowToRack(s, eligible)
 		if s.spec.Gang {
-			commands = append(commands, sc.placeGang(s, eligible, now)...)
+			commands = append(commands, sc.placeGang(s, newCandidates(work.Need{}), eligible, now)...)
 			continue
 		}
-		commands = append(commands, sc.placeTasks(s, eligible, now)...)
+		commands = append(commands, placeByScan(sc, s, eligible, now)...)
 		if s.spec.LongRunning && s.waiting > 0 && !sc.queueOf(s.job).NeedsTicket {
-			commands = append(commands, sc.placeTasks(s, cordoned, now)...)
+			commands = append(commands, placeByScan(sc, s, cordoned, now)...)
 		}
 	}
 	return commands
 }
 
+// placeByScan is placeTasks without the order of workers that finite tasks share.
+func placeByScan(sc *Scheduler, s *stepState, eligible []*worker, now time.Time) []Command {
+	if s.isPacked() {
+		// Not all candidates are eligible, as far as placeTasks knows.
+		return sc.placeTasks(s, &candidates{workers: append(eligible[:len(eligible):len(eligible)], nil)}, eligible, now)
+	}
+	return sc.placeTasks(s, newCandidates(work.Need{}), eligible, now)
+}
+
 func drawNeed(t *rapid.T, most int64, name string) work.Need {
 	return work.Need{CPU: rapid.Int64Range(0, most).Draw(t, name+" cpu"),
 		Memory: rapid.Int64Range(0, most).Draw(t, name+" memory"), GPU: rapid.Int64Range(0, 1).Draw(t, name+" gpu")}
@@ -309,3 +318,77 @@
 		}
 	}
 }
+
+// newTurn returns a scheduler in the middle of a queue's turn on a large fleet: its workers are full with tasks of many
+// customers, and the steps of hundreds of jobs wait.
+func newTurn(t fataler, workers, jobs int) *Scheduler {
+	const customers = 60
+	var list []work.Worker
+	for i := range workers {
+		list = append(list, work.Worker{ID: work.WorkerID(fmt.Sprintf("w%04d", i)), Pool: "p", Zone: "a",
+			Capacity: work.Need{CPU: 32000, Memory: 131072}})
+	}
+	config := work.Config{Version: 1, Customers: map[string]work.Customer{},
+		Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 2, Stretch: 2, Objective: time.Second}}}
+	for i := range customers {
+		name := fmt.Sprintf("c%02d", i)
+		config.Customers[name] = work.Customer{Name: name, Weight: 1 + float64(i%7), Cap: work.Need{CPU: 1 << 40}}
+	}
+	sc := newTestScheduler(t, config, list)
+	for i := range jobs {
+		need := work.Need{CPU: 2000 + int64(i*7919%5003), Memory: 4000 + int64(i*104729%9001)}
+		j := work.Job{ID: work.JobID(fmt.Sprintf("%016x", i)), Queue: "q", Customer: fmt.Sprintf("c%02d", i*31%customers),
+			Accepted: time.Now().UnixMilli() - int64(i*7919%1009),
+			Steps:    []work.Step{{Count: 8, Need: need, Estimate: 640 * time.Millisecond}, {Count: 8, Need: need, After: []int{0}}}}
+		if _, err := sc.Submit(j); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store(t, sc)
+	startAll(sc)
+	return sc
+}
+
+// endSome releases a run on each of some workers, as if its task had ended.
+func endSome(sc *Scheduler, workers int) {
+	for _, w := range sc.index.byPool["p"][:workers] {
+		for _, r := range w.runs {
+			sc.releaseRun(r)
+			break
+		}
+	}
+}
+
+// Load pattern: a queue's turn on a large fleet; hundreds of jobs wait, and some tasks end between two planning passes.
+// Guards against passes that compare each task with each worker: they took so long that freed capacity stood idle until
+// the next one.
+func TestPassInTurnComparesFreedWorkers(t *testing.T) {
+	const workers, freed = 850, 60
+	sc := newTurn(t, workers, 1500)
+	endSome(sc, freed)
+	sc.comparisons = 0
+	commands := sc.Commands()
+	if len(commands) < freed/2 {
+		t.Fatalf("%d starts after %d tasks have ended", len(commands), freed)
+	}
+	if most := len(commands) * workers / 4; sc.comparisons > most {
+		t.Errorf("%d comparisons for %d starts on %d workers, want at most %d", sc.comparisons, len(commands), workers, most)
+	}
+}
+
+// BenchmarkTurn measures a planning pass in a queue's turn on a large fleet, in which some tasks have ended since the
+// last one.
+func BenchmarkTurn(b *testing.B) {
+	sc := newTurn(b, 850, 1500)
+	for b.Loop() {
+		b.StopTimer()
+		endSome(sc, 60)
+		b.StartTimer()
+		commands := sc.Commands()
+		b.StopTimer()
+		for _, c := range commands {
+			sc.HandleOutcome(c, Applied, time.Now())
+		}
+		b.StartTimer()
+	}
+}
--- a/internal/sched/engine/crash.go
+++ b/internal/sched/engine/crash.go
@@ -158,7 +158,7 @@
 func (sc *Scheduler) ascribe(c candidate, event *workerCrash, sole bool) {
 	t := c.step.suspect(c.index)
 	if t.suspicion == nil {
-		t.suspicion = &suspicion{}
+		c.step.setSuspicion(t, &suspicion{})
 	}
 	p := t.suspicion
 	if slices.ContainsFunc(p.crashes, func(o taskCrash) bool { return o.number == c.number }) {
@@ -197,7 +197,7 @@
 			}
 		}
 	}
-	t.suspicion = nil
+	s.setSuspicion(t, nil)
 	sc.markDirty(s.job)
 }
 
@@ -234,7 +234,7 @@
 		return
 	}
 	t := &s.tasks[index]
-	t.suspicion = &suspicion{restored: count}
+	s.setSuspicion(t, &suspicion{restored: count})
 	if t.suspicion.exceeded() {
 		sc.exceeded = append(sc.exceeded, candidate{step: s, index: index})
 	}
--- /dev/null
+++ b/internal/sched/engine/customer.go
@@ -0,0 +1,62 @@
+package engine
+
+import "github.com/yuccahaven/yuccahaven/internal/model/work"
+
+// customer is what the scheduler keeps of a customer with jobs in this term.
+type customer struct {
+	name string
+	// index is the customer's place among those of the scheduler.
+	index int
+	// usage is what the customer's runs use of its cap.
+	usage work.Need
+}
+
+// customer returns the customer with a name.
+func (sc *Scheduler) customer(name string) *customer {
+	c, ok := sc.customers[name]
+	if !ok {
+		c = &customer{name: name, index: len(sc.customers)}
+		sc.customers[name] = c
+	}
+	return c
+}
+
+// finiteRun is what the ranking of steps needs of a run of a finite task.
+type finiteRun struct {
+	run *run
+	// cpu is what the run reserves, in thousandths of a core, endsAt its expected end in nanoseconds since 1970, customer
+	// the index of its customer.
+	cpu      float64
+	endsAt   int64
+	customer int
+}
+
+// addRun adds a run of a known task to what is kept of its worker and its customer.
+func (sc *Scheduler) addRun(r *run) {
+	w, j := r.worker, r.stepState.job
+	w.reserved = w.reserved.Plus(r.need)
+	j.owner.usage = j.owner.usage.Plus(r.charge)
+	sc.index.countRun(w, r, 1)
+	if r.stepState.spec.LongRunning {
+		return
+	}
+	r.finiteIndex = len(w.finiteRuns)
+	w.finiteRuns = append(w.finiteRuns, finiteRun{run: r, cpu: float64(r.need.CPU), customer: j.owner.index,
+		endsAt: r.startedAt.Add(sc.estimate(j.Queue, *r.stepState.spec)).UnixNano()})
+}
+
+// removeRun removes a run from what is kept of its worker and its customer.
+func (sc *Scheduler) removeRun(r *run) {
+	w, j := r.worker, r.stepState.job
+	w.reserved = w.reserved.Minus(r.need)
+	j.owner.usage = j.owner.usage.Minus(r.charge)
+	sc.index.countRun(w, r, -1)
+	if r.stepState.spec.LongRunning {
+		return
+	}
+	last := len(w.finiteRuns) - 1
+	w.finiteRuns[r.finiteIndex] = w.finiteRuns[last]
+	w.finiteRuns[r.finiteIndex].run.finiteIndex = r.finiteIndex
+	w.finiteRuns[last] = finiteRun{}
+	w.finiteRuns = w.finiteRuns[:last]
+}
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -63,8 +63,8 @@
 	workers    map[work.WorkerID]*worker
 	index      workerIndex
 	pools      map[string]*pool
-	// customerUsage is what the runs of each customer use of its cap.
-	customerUsage map[string]work.Need
+	// customers are those with jobs in this term, by name.
+	customers map[string]*customer
 	// runTimes are the models of the queues, by name.
 	runTimes map[string]*runTimeModel
 	// dirty are the jobs of which the store does not hold the newest version.
@@ -125,7 +125,7 @@
 		options: o, log: log, term: term, config: work.NewConfig(work.Config{}), evacuated: map[string]bool{},
 		jobs: map[work.JobID]*job{}, unfinished: map[work.JobID]*job{}, workers: map[work.WorkerID]*worker{},
 		index: newWorkerIndex(), pools: map[string]*pool{},
-		customerUsage: map[string]work.Need{}, runTimes: map[string]*runTimeModel{}, dirty: map[work.JobID]*job{},
+		customers: map[string]*customer{}, runTimes: map[string]*runTimeModel{}, dirty: map[work.JobID]*job{},
 		arrived: map[string]float64{}, inherited: map[work.WorkerID]*worker{}, dirtyWorkers: map[work.WorkerID]bool{},
 		stopping: map[work.RunKey]*run{}, pending: newPendingStarts(),
 	}
--- a/internal/sched/engine/isolation.go
+++ b/internal/sched/engine/isolation.go
@@ -38,8 +38,17 @@
 }
 
 // hasSuspects reports whether a task of a step may have caused crashes.
-func (s *stepState) hasSuspects() bool {
-	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.suspicion != nil })
+func (s *stepState) hasSuspects() bool { return s.suspects > 0 }
+
+// setSuspicion sets the suspicion of a task, or ends it with nil.
+func (s *stepState) setSuspicion(t *task, p *suspicion) {
+	if t.suspicion != nil {
+		s.suspects--
+	}
+	if p != nil {
+		s.suspects++
+	}
+	t.suspicion = p
 }
 
 // isolate records that a run of a suspect starts on its worker.
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -11,6 +11,7 @@
 // job is a job with the state of its tasks.
 type job struct {
 	work.Job
+	owner *customer
 	// settings are the queue's settings when the job was accepted.
 	settings acceptedSettings
 	state    work.State
@@ -60,10 +61,12 @@
 	round, step int
 	spec        *work.Step
 	tasks       []task
+	// need is what one task reserves on its worker.
+	need work.Need
 	// unfinished counts the tasks that have not completed.
 	unfinished int
-	// waiting counts the unfinished tasks without a run.
-	waiting int
+	// waiting counts the unfinished tasks without a run, suspects those that may have caused crashes.
+	waiting, suspects int
 	// due is when the tasks of the round may start; zero for a job that does not repeat.
 	due time.Time
 	// ready means that the steps it depends on are complete.
@@ -114,6 +117,8 @@
 	phase     phase
 	// repeated means that the start was sent more than once.
 	repeated bool
+	// finiteIndex is the run's place among the finite runs of its worker.
+	finiteIndex int
 	// need is what the run reserves on its worker, charge what it uses of its customer's cap.
 	need, charge work.Need
 	// startedAt is when the start was issued or the run adopted; phaseSince is when its phase was last set.
@@ -151,7 +156,7 @@
 	j.openedRounds++
 	for i := range j.Steps {
 		spec := &j.Steps[i]
-		s := &stepState{job: j, round: r, step: i, spec: spec, tasks: make([]task, spec.Count), unfinished: spec.Count,
+		s := &stepState{job: j, round: r, step: i, spec: spec, need: spec.Reserved(), tasks: make([]task, spec.Count), unfinished: spec.Count,
 			waiting: spec.Count}
 		if due := j.Due(r); due > 0 {
 			s.due = time.UnixMilli(due)
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -32,17 +32,21 @@
 
 // placeWaiting starts waiting tasks of a pool in the order of their rank and requests the tickets that they need.
 func (sc *Scheduler) placeWaiting(p *pool, now time.Time) []Command {
-	workers, cordoned := newCandidates(), newCandidates()
+	waiting := sc.waitingSteps(p, now)
+	if len(waiting) == 0 {
+		return nil
+	}
+	least := leastNeed(waiting)
+	workers, cordoned := newCandidates(least), newCandidates(least)
 	for _, w := range sc.index.byPool[p.name] {
 		switch {
 		case !sc.usable(w, now):
 		case w.cordoned:
-			cordoned.workers = append(cordoned.workers, w)
+			cordoned.add(w)
 		default:
-			workers.workers = append(workers.workers, w)
+			workers.add(w)
 		}
 	}
-	waiting := sc.waitingSteps(p, now)
 	if !slices.ContainsFunc(waiting, func(s *stepState) bool { return sc.mayPlace(s, workers, cordoned) }) {
 		return nil
 	}
@@ -66,18 +70,27 @@
 		}
 		eligible = sc.narrowToRack(s, eligible)
 		if s.spec.Gang {
-			commands = append(commands, sc.placeGang(s, eligible, now)...)
+			commands = append(commands, sc.placeGang(s, workers, eligible, now)...)
 			continue
 		}
-		commands = append(commands, sc.placeTasks(s, eligible, now)...)
+		commands = append(commands, sc.placeTasks(s, workers, eligible, now)...)
 		if s.spec.LongRunning && s.waiting > 0 && !sc.queueOf(s.job).NeedsTicket {
 			// A long-running task may start on a cordoned worker rather than wait while no other worker has capacity.
-			commands = append(commands, sc.placeTasks(s, cordoned.workers, now)...)
+			commands = append(commands, sc.placeTasks(s, cordoned, cordoned.workers, now)...)
 		}
 	}
 	return commands
 }
 
+// leastNeed returns the smallest need of the tasks of some steps in each dimension.
+func leastNeed(steps []*stepState) work.Need {
+	least := steps[0].need
+	for _, s := range steps[1:] {
+		least = least.Min(s.need)
+	}
+	return least
+}
+
 // rank is the place of a step among those that wait for its pool; the lower one goes first.
 type rank struct {
 	priority, class int
@@ -239,7 +252,7 @@
 // hasRoom reports whether a worker has capacity for one more task of a step and satisfies the step's constraints.
 func (sc *Scheduler) hasRoom(s *stepState, w *worker) bool {
 	sc.comparisons++
-	if !s.spec.Reserved().FitsIn(w.free()) || !w.Has(s.spec.Label) {
+	if !s.need.FitsIn(w.free()) || !w.Has(s.spec.Label) {
 		return false
 	}
 	return s.spec.MaxPerWorker == 0 || sc.countRuns(s, w) < s.spec.MaxPerWorker
@@ -298,18 +311,10 @@
 			}
 		}
 	}
-	score -= weightFailureRate * w.failureRate
-	if w.WarmUp > 0 {
-		score -= weightWarmUp
-	}
-	used := 0.0
-	if w.Capacity.CPU > 0 {
-		used = float64(w.reserved.CPU) / float64(w.Capacity.CPU)
-	}
 	if !s.spec.LongRunning {
-		// Finite tasks go to the fullest worker that fits them, so that machines become empty and can be moved.
-		return score + used
+		return score + w.packingScore()
 	}
+	score += w.healthScore()
 	if w.due {
 		score -= weightDue
 	}
@@ -322,11 +327,32 @@
 		score -= float64(bestEffort)
 	default:
 		score -= weightInterference * min(1, float64(bestEffort))
-		score += used
+		score += w.usedShare()
 	}
 	return score - weightSameStep*float64(sc.countRuns(s, w))
 }
 
+// healthScore rates a worker by how well tasks run there.
+func (w *worker) healthScore() float64 {
+	score := -weightFailureRate * w.failureRate
+	if w.WarmUp > 0 {
+		score -= weightWarmUp
+	}
+	return score
+}
+
+// usedShare returns the share of a worker's CPU that is reserved.
+func (w *worker) usedShare() float64 {
+	if w.Capacity.CPU <= 0 {
+		return 0
+	}
+	return float64(w.reserved.CPU) / float64(w.Capacity.CPU)
+}
+
+// packingScore rates a worker for finite tasks: these go to the fullest worker that fits them, so that machines become
+// empty and can be moved.
+func (w *worker) packingScore() float64 { return w.healthScore() + w.usedShare() }
+
 // countLongRunning returns the numbers of best-effort runs, finite ones included, and of other long-running runs on a
 // worker.
 func (w *worker) countLongRunning() (bestEffort, others int) {
@@ -355,9 +381,11 @@
 // single character.
 func isRack(label string) bool { return len(label) > 1 }
 
-// placeTasks places waiting tasks of a step one by one until none fits or the customer's cap is reached.
-func (sc *Scheduler) placeTasks(s *stepState, workers []*worker, now time.Time) []Command {
+// placeTasks places waiting tasks of a step one by one until none fits or the customer's cap is reached. The eligible
+// workers are among the candidates.
+func (sc *Scheduler) placeTasks(s *stepState, c *candidates, eligible []*worker, now time.Time) []Command {
 	var commands []Command
+	packed := s.isPacked() && len(eligible) == len(c.workers)
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if s.waiting == 0 {
@@ -369,23 +397,28 @@
 		if !sc.withinCap(s, 1) || !sc.pending.allow() {
 			break
 		}
-		if t.suspicion != nil {
-			if w := sc.chooseForSuspect(s, t, workers, now); w != nil {
-				commands = append(commands, sc.startRun(s, i, w, sc.nextRunNumber(t.lastNumber), now))
+		var w *worker
+		switch {
+		case t.suspicion != nil:
+			if w = sc.chooseForSuspect(s, t, eligible, now); w == nil {
+				continue
 			}
-			continue
+		case packed:
+			w = sc.chooseFullest(c, s)
+		default:
+			w = sc.chooseWorker(s, eligible)
 		}
-		w := sc.chooseWorker(s, workers)
 		if w == nil {
 			break
 		}
 		commands = append(commands, sc.startRun(s, i, w, sc.nextRunNumber(t.lastNumber), now))
+		c.noteStart(w)
 	}
 	return commands
 }
 
 // placeGang places all tasks of a gang or none; none while one of them has a run.
-func (sc *Scheduler) placeGang(s *stepState, workers []*worker, now time.Time) []Command {
+func (sc *Scheduler) placeGang(s *stepState, c *candidates, workers []*worker, now time.Time) []Command {
 	if s.waiting != len(s.tasks) || !sc.withinCap(s, len(s.tasks)) {
 		return nil
 	}
@@ -425,6 +458,7 @@
 	var commands []Command
 	for i, w := range chosen {
 		commands = append(commands, sc.startRun(s, i, w, number, now))
+		c.noteStart(w)
 	}
 	return commands
 }
@@ -435,7 +469,7 @@
 	if !ok {
 		return true
 	}
-	return sc.customerUsage[s.job.Customer].Plus(s.spec.Need.Times(count)).WithinLimit(c.Cap)
+	return s.job.owner.usage.Plus(s.spec.Need.Times(count)).WithinLimit(c.Cap)
 }
 
 // startRun reserves what a run needs and returns its start command, which also extends the worker's lease.
@@ -445,7 +479,7 @@
 	s.gangNumber = max(s.gangNumber, number)
 	r := &run{
 		key: work.RunKey{Task: s.task(index), Number: number}, stepState: s, worker: w, phase: startSent,
-		need: s.spec.Reserved(), charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100, speed: 100,
+		need: s.need, charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100, speed: 100,
 		lateStart: w.cordoned,
 	}
 	t.runs = append(t.runs, r)
@@ -455,11 +489,9 @@
 	}
 	s.waiting--
 	w.runs[r.key] = r
-	sc.index.countRun(w, r, 1)
+	sc.addRun(r)
 	p := sc.pool(w.Pool)
 	p.longestEstimate = max(p.longestEstimate, sc.estimate(s.job.Queue, *s.spec))
-	w.reserved = w.reserved.Plus(r.need)
-	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Plus(r.charge)
 	sc.noteFirstStart(s.job, now)
 	s.job.started = true
 	sc.isolate(r)
--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -378,7 +378,7 @@
 			zap.Error(err))
 		return
 	}
-	j := &job{Job: r.Job, settings: r.Settings, state: work.Pending, storedState: work.Pending, stored: true,
+	j := &job{Job: r.Job, owner: sc.customer(r.Job.Customer), settings: r.Settings, state: work.Pending, storedState: work.Pending, stored: true,
 		restored: true, version: firstVersion, committedVersion: firstVersion, stepStates: map[stepKey]*stepState{}}
 	if r.State.Final() {
 		j.state, j.storedState = r.State, r.State
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -242,15 +242,12 @@
 			zap.Int64("run", a.Run.Number), zap.String("worker", string(w.ID)))
 		return r
 	}
-	r.need = s.spec.Reserved()
-	w.reserved = w.reserved.Plus(r.need)
+	r.need, r.charge = s.spec.Reserved(), s.spec.Need
 	t := &s.tasks[a.Run.Task.Index]
 	t.lastNumber = max(t.lastNumber, a.Run.Number)
 	s.gangNumber = max(s.gangNumber, a.Run.Number)
 	r.stepState = s
-	sc.index.countRun(w, r, 1)
-	r.charge = s.spec.Need
-	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Plus(r.charge)
+	sc.addRun(r)
 	if len(t.runs) == 0 && !t.done {
 		s.waiting--
 	}
--- a/internal/sched/engine/share.go
+++ b/internal/sched/engine/share.go
@@ -1,13 +1,11 @@
 package engine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
-	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/share"
 )
 
@@ -25,46 +23,28 @@
 // work, no step is marked: customers may exceed their shares, and the order by latest start serves all. It reports
 // whether any step is marked.
 func (sc *Scheduler) markOverShare(p *pool, list []rankedStep, now time.Time) (marked bool) {
-	claimed := claims{}
+	claimed := claims{byCustomer: make([]*share.Claim, len(sc.customers))}
 	total, horizon := 0.0, minShareHorizon
 	// The waiting work of each step in the list, and the claim that it belongs to.
 	waiting, claimOf := make([]float64, len(list)), make([]*share.Claim, len(list))
 	for i, e := range list {
 		if e.rank.class != classLongRunning {
-			waiting[i], claimOf[i] = sc.waitingWork(e.state), claimed.forCustomerOf(e.state.job, sc.config)
+			waiting[i], claimOf[i] = sc.waitingWork(e.state), claimed.of(e.state.job.owner.index)
 			total += waiting[i]
 			horizon = max(horizon, e.state.job.deadline.Sub(now))
 			claimOf[i].Normal += int(waiting[i])
 		}
 	}
-	if len(claimed) < 2 || total+sc.mostRemaining(p) <= sc.finiteCPU(p, now)*horizon.Seconds() {
+	capacity := sc.finiteCPU(p, now) * horizon.Seconds()
+	if claimed.count < 2 || total+sc.mostRemaining(p) <= capacity {
 		// The customers of running tasks don't change the order of the waiting steps of a single one.
 		return false
 	}
-	finiteCPU := 0.0 // what finite tasks may use, in thousandths of a core
-	for _, w := range sc.workers {
-		if w.Pool != p.name || !sc.usable(w, now) {
-			continue
-		}
-		finiteCPU += float64(w.Capacity.CPU)
-		for _, r := range w.runs {
-			if r.stepState == nil || r.stepState.spec.LongRunning {
-				finiteCPU -= float64(r.need.CPU)
-				continue
-			}
-			remaining := float64(r.need.CPU) *
-				max(sc.estimate(r.stepState.job.Queue, *r.stepState.spec)-now.Sub(r.startedAt), 0).Seconds()
-			total += remaining
-			claimed.forCustomerOf(r.stepState.job, sc.config).Allocated += int(remaining)
-		}
-	}
-	capacity := max(finiteCPU, 0) * horizon.Seconds()
-	if total <= capacity || len(claimed) < 2 {
+	total += sc.claimRunning(p, &claimed, now)
+	if total <= capacity {
 		return false
 	}
-	share.Divide(slices.SortedFunc(maps.Values(claimed), func(x, y *share.Claim) int {
-		return cmp.Compare(x.Team, y.Team)
-	}), capacity)
+	share.Divide(sc.sortedClaims(claimed), capacity)
 	for i, c := range claimOf {
 		if c != nil {
 			list[i].rank.overShare = float64(c.Allocated) >= c.Due()
@@ -75,6 +55,24 @@
 	return marked
 }
 
+// claimRunning adds the remaining work of a pool's running finite tasks to the claims of their customers, and returns its
+// sum in core-milliseconds.
+func (sc *Scheduler) claimRunning(p *pool, claimed *claims, now time.Time) float64 {
+	total, at := 0.0, now.UnixNano()
+	for _, w := range sc.index.byPool[p.name] {
+		if !sc.usable(w, now) {
+			continue
+		}
+		for i := range w.finiteRuns {
+			r := &w.finiteRuns[i]
+			remaining := r.cpu * max(float64(r.endsAt-at)/float64(time.Second), 0)
+			total += remaining
+			claimed.of(r.customer).Allocated += int(remaining)
+		}
+	}
+	return total
+}
+
 // finiteCPU returns what finite tasks may use in a pool, in thousandths of a core.
 func (sc *Scheduler) finiteCPU(p *pool, now time.Time) float64 {
 	var cpu int64
@@ -96,16 +94,31 @@
 }
 
 // claims are the running and waiting work of a pool's customers, in core-milliseconds.
-type claims map[string]*share.Claim
+type claims struct {
+	// byCustomer are the claims by the customers' indexes, nil for customers without any, count the number of the others.
+	byCustomer []*share.Claim
+	count      int
+}
 
-// forCustomerOf returns the claim of a job's customer.
-func (c claims) forCustomerOf(j *job, config *work.Config) *share.Claim {
-	claim, ok := c[j.Customer]
-	if !ok {
-		claim = &share.Claim{Team: fleet.TeamName(j.Customer), Weight: int(config.Customers[j.Customer].Weight / minWeight)}
-		c[j.Customer] = claim
+// of returns the claim of the customer with an index.
+func (c *claims) of(index int) *share.Claim {
+	if c.byCustomer[index] == nil {
+		c.byCustomer[index] = &share.Claim{}
+		c.count++
+	}
+	return c.byCustomer[index]
+}
+
+// sortedClaims returns the claims by the names of their customers, with their weights.
+func (sc *Scheduler) sortedClaims(c claims) []*share.Claim {
+	list := make([]*share.Claim, 0, c.count)
+	for _, name := range slices.Sorted(maps.Keys(sc.customers)) {
+		if claim := c.byCustomer[sc.customers[name].index]; claim != nil {
+			claim.Team, claim.Weight = fleet.TeamName(name), int(sc.config.Customers[name].Weight/minWeight)
+			list = append(list, claim)
+		}
 	}
-	return claim
+	return list
 }
 
 // waitingWork estimates the work of a step's waiting tasks, in core-milliseconds.
--- a/internal/sched/engine/submit.go
+++ b/internal/sched/engine/submit.go
@@ -50,7 +50,7 @@
 	if err := sc.checkPossible(j, q); err != nil {
 		return 0, err
 	}
-	n := &job{Job: j, settings: settingsOf(q), state: work.Pending, storedState: work.Pending,
+	n := &job{Job: j, owner: sc.customer(j.Customer), settings: settingsOf(q), state: work.Pending, storedState: work.Pending,
 		stepStates: map[stepKey]*stepState{}}
 	sc.jobs[j.ID] = n
 	sc.unfinished[j.ID] = n
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -74,6 +74,8 @@
 	// held means that the worker gets no other tasks until heldUntil because a suspect waits for it.
 	held      bool
 	heldUntil time.Time
+	// finiteRuns are the runs of finite tasks, in no particular order.
+	finiteRuns []finiteRun
 	// longRunningCPU is what its long-running tasks reserve.
 	longRunningCPU int64
 	// interferingRuns counts the best-effort runs and those with a latency objective.
@@ -423,13 +425,11 @@
 	}
 	delete(w.runs, r.key)
 	delete(sc.stopping, r.key)
-	w.reserved = w.reserved.Minus(r.need)
 	if s == nil {
 		w.unknownRuns--
 		return
 	}
-	sc.index.countRun(w, r, -1)
-	sc.customerUsage[s.job.Customer] = sc.customerUsage[s.job.Customer].Minus(r.charge)
+	sc.removeRun(r)
 	t := &s.tasks[r.key.Task.Index]
 	for i, o := range t.runs {
 		if o == r {
