leader: Record machine operations again once the store is no longer slow

Cause: an operation that did not wait for its record extended the time for which the leader record states that there are such operations, and while it states that no operation waited for its record. Where machines move all the time, one slow transaction ended the log for good.

Change: operations do without a record only for 1 s after a slow transaction.

Measured: TestOperationsAreRecordedAfterSlowStore fails without it.

--- a/internal/serve/leader/oplog.go
+++ b/internal/serve/leader/oplog.go
@@ -45,8 +45,13 @@
 	clock  table.Clock
 	// unloggedUntil is how long an operation without a record can still matter to the next leader.
 	unloggedUntil time.Time
+	// slowUntil is until when the store counts as slow, so that operations don't wait for their records.
+	slowUntil time.Time
 }
 
+// slowTTL is how long the store counts as slow after a slow transaction.
+const slowTTL = time.Second
+
 func newOperationLog(clock table.Clock, ttl time.Duration, log *zap.Logger) *operationLog {
 	return &operationLog{clock: clock, log: log, ttl: ttl, next: 1, rows: map[int64]time.Time{},
 		former: map[string]time.Duration{}, unloggedUntil: time.Now().Add(ttl)}
@@ -137,20 +142,20 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if took >= slowCommit {
-		s.operations.unloggedUntil = now.Add(s.operations.ttl)
+		s.operations.unloggedUntil, s.operations.slowUntil = now.Add(s.operations.ttl), now.Add(slowTTL)
 	}
 	if logged := now.After(s.operations.unloggedUntil); logged || took >= slowCommit {
 		s.leadership.SetLogged(logged)
 	}
 }
 
-// recordOperation stores that an operation on a machine is about to start, unless the leader record states that there
-// may be operations without a record. It returns false if the session or the context ends before the store has confirmed
+// recordOperation stores that an operation on a machine is about to start, unless the store is slow and the leader record
+// states that there may be operations without a record. It returns false if the session or the context ends before the store has confirmed
 // that.
 func (s *session) recordOperation(ctx context.Context, machine string) bool {
 	s.mu.Lock()
-	if s.leadership.StatesUnlogged() {
-		s.operations.unloggedUntil = time.Now().Add(s.operations.ttl)
+	if now := time.Now(); s.leadership.StatesUnlogged() && now.Before(s.operations.slowUntil) {
+		s.operations.unloggedUntil = now.Add(s.operations.ttl)
 		s.mu.Unlock()
 		return true
 	}
--- a/internal/serve/leader/oplog_test.go
+++ b/internal/serve/leader/oplog_test.go
@@ -16,10 +16,10 @@
 
 const testTakeoverPause = 3500 * time.Millisecond
 
-// movingCluster runs a test on a cluster of two instances with machines that are off.
-func movingCluster(t *testing.T, f func(c *cluster, m *spareMachines)) {
+// movingCluster runs a test on a cluster of two instances with a number of machines that are off.
+func movingCluster(t *testing.T, off int, f func(c *cluster, m *spareMachines)) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newSpareMachines(100)
+		m := newSpareMachines(off)
 		c := newClusterOf(t, 2, 1, func(o *leader.Options) {
 			m.workers = o.Fleet.(*fakes.Workers).List()
 			o.Machines, o.Moves = m, leader.MoveOptions{TakeoverPause: testTakeoverPause, Shift: shift.Default(),
@@ -68,7 +68,7 @@
 // Load pattern: a queue's turn begins when the leader has just been lost. Guards against a new leader that moves no
 // machine that is off for seconds, because it does not know on which ones the former leader has just acted.
 func TestMachinesMoveAfterTakeover(t *testing.T) {
-	movingCluster(t, func(c *cluster, m *spareMachines) {
+	movingCluster(t, 100, func(c *cluster, m *spareMachines) {
 		c.kill(c.leaderEntry())
 		c.submitTurn(1, 40)
 		accepted := time.Now()
@@ -80,10 +80,41 @@
 	})
 }
 
+// Load pattern: machines are moved all the time, the store was slow for a moment, and some seconds later the leader is lost
+// at the beginning of a turn. Guards against a leader that records no operation any more after the first one that it did
+// not record, so that its successor moves no machine that is off for seconds.
+func TestOperationsAreRecordedAfterSlowStore(t *testing.T) {
+	movingCluster(t, 1000, func(c *cluster, m *spareMachines) {
+		former := c.leaderEntry()
+		former.link.SetFaults(fakes.Faults{Delay: 400 * time.Millisecond})
+		for i := range 20 {
+			if i == 3 {
+				former.link.SetFaults(fakes.Faults{})
+			}
+			c.submitTurn(1+i, 20+4*i)
+			time.Sleep(700 * time.Millisecond)
+		}
+		c.kill(former)
+		m.mu.Lock()
+		if n := len(m.moved); n < 50 || n == m.off {
+			t.Errorf("the first leader moved %d machines of %d", n, m.off)
+		}
+		clear(m.moved)
+		m.mu.Unlock()
+		c.submitTurn(100, 400)
+		accepted := time.Now()
+		time.Sleep(testTakeoverPause)
+		// Decisions are 200 ms apart and need a list of machines.
+		if first := m.firstMove(); first.IsZero() || first.Sub(accepted) > time.Second {
+			t.Errorf("the first machine moved %v after the job was accepted", first.Sub(accepted))
+		}
+	})
+}
+
 // Guards against two leaders that act on one machine within the takeover pause: the call of the former one, whose outcome
 // it did not learn, may still take effect when the new one begins.
 func TestMachinesOfFormerLeaderRest(t *testing.T) {
-	movingCluster(t, func(c *cluster, m *spareMachines) {
+	movingCluster(t, 100, func(c *cluster, m *spareMachines) {
 		m.lost = true
 		c.submitTurn(1, 40)
 		time.Sleep(500 * time.Millisecond)
