router: A process that does not know yet that it leads has not exited

Cause: a heartbeat that reached an instance between its transaction that acquired leadership and the store's reply was answered by "not the leader", which counted as a process that was started again: others took over 0.1 s later, while the first one loaded the stored state.

Change: replies name the process and say whether its own leadership has ended; only another process, or one whose leadership has ended, counts as exited.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -160,7 +160,7 @@
 	e.ElectionDelay = h.currentElectionDelay
 	e.ShuttingDown = h.shuttingDown.Load
 	r.SetLeaderTracker(e)
-	r.SetCandidacy(router.Candidacy{Address: h.Peers, Zone: h.Zone, ElectionDelay: h.currentElectionDelay, Relays: true})
+	r.SetCandidacy(router.Candidacy{Address: h.Peers, Zone: h.Zone, Boot: h.Boot, ElectionDelay: h.currentElectionDelay, Relays: true})
 	h.leader.OfferLeadership = r.OfferLeadership
 	h.leader.AskForTerm = r.AskForTerm
 	h.leader.OpenRelay = func(ctx context.Context, address string) (relay.OrderStream, error) {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -81,6 +81,8 @@
 	session *session
 	// leadership is nil while this process doesn't lead; unlike session it is set during the load.
 	leadership *elect.Leadership
+	// endedTerm is the last term in which this process led and no longer does.
+	endedTerm int64
 	// heartbeats holds the last heartbeat of each peer, by the peer's name.
 	heartbeats map[string]heartbeat
 	// epoch is the origin of the stamps in replies to heartbeats.
@@ -130,6 +132,9 @@
 func (s *Service) setSession(ss *session, l *elect.Leadership) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if l == nil && s.leadership != nil {
+		s.endedTerm = s.leadership.Term()
+	}
 	s.session, s.leadership = ss, l
 }
 
--- a/internal/serve/leader/peers.go
+++ b/internal/serve/leader/peers.go
@@ -70,10 +70,10 @@
 		h.confirmedAt, h.confirmedTerm = at, q.EchoTerm
 	}
 	s.heartbeats[q.From] = h
-	interval := s.interval()
+	interval, ended := s.interval(), s.endedTerm >= q.Term
 	s.mu.Unlock()
 	if l == nil {
-		return peer.HeartbeatReply{}
+		return peer.HeartbeatReply{Ended: ended}
 	}
 	if q.Term > l.Term() {
 		s.Log.Warn("leader: heartbeat with a later term received, leadership is lost", zap.Int64("term", q.Term),
@@ -81,7 +81,7 @@
 		l.MarkLost()
 		return peer.HeartbeatReply{}
 	}
-	return peer.HeartbeatReply{IsLeader: !l.Lost(), Term: l.Term(), SinceConfirmed: l.SinceConfirmed(),
+	return peer.HeartbeatReply{IsLeader: !l.Lost(), Ended: l.Lost(), Term: l.Term(), SinceConfirmed: l.SinceConfirmed(),
 		StoreRefusedFor: l.StoreRefusedFor(), Stamp: now.Sub(s.epoch), Interval: interval}
 }
 
--- a/internal/serve/router/heartbeat.go
+++ b/internal/serve/router/heartbeat.go
@@ -33,8 +33,8 @@
 
 // Candidacy is what the leader has to know of an instance to hand over leadership or to have it relay orders.
 type Candidacy struct {
-	// Address is where peers reach the instance, Zone its availability zone.
-	Address, Zone string
+	// Address is where peers reach the instance, Zone its availability zone, Boot identifies its process.
+	Address, Zone, Boot string
 	// ElectionDelay returns the instance's election delay; nil means 0.
 	ElectionDelay func() time.Duration
 	// Relays means that the instance relays the leader's orders.
@@ -103,7 +103,8 @@
 }
 
 // handleHeartbeat records the reply to a heartbeat and wakes the tracker unless it shows that the store confirms the
-// leader.
+// leader. The process of the leader record may not know yet that it leads, so that it counts as exited only if another
+// process replies or its own leadership has ended.
 func (r *Router) handleHeartbeat(leader elect.LeaderRecord, reply peer.HeartbeatReply, err error) {
 	if err != nil || !reply.IsLeader || reply.StoreRefusedFor >= minRefusedDuration ||
 		reply.SinceConfirmed > confirmedMaxAge {
@@ -114,7 +115,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) || err == nil && !reply.IsLeader {
+	if errors.Is(err, syscall.ECONNREFUSED) || err == nil && !reply.IsLeader && (reply.Boot != leader.Boot || reply.Ended) {
 		r.exitedAt, r.exitedTerm = time.Now(), leader.Term
 	}
 	if err == nil {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -96,7 +96,9 @@
 		return r.local.Waiting(q.Queue), nil
 	})
 	peer.Handle(s, peer.MethodHeartbeat, func(_ context.Context, q peer.HeartbeatRequest) (peer.HeartbeatReply, error) {
-		return r.local.HandleHeartbeat(q), nil
+		reply := r.local.HandleHeartbeat(q)
+		reply.Boot = r.candidacy.Boot
+		return reply, nil
 	})
 	peer.Handle(s, peer.MethodAnnounce, func(_ context.Context, q peer.AnnounceRequest) (peer.AnnounceReply, error) {
 		r.tracker.ObserveLeader(elect.LeaderRecord{Name: q.Name, Boot: q.Boot, Address: q.Address, Term: q.Term})
--- a/internal/serve/router/router_test.go
+++ b/internal/serve/router/router_test.go
@@ -106,7 +106,9 @@
 			refused: true, wakes: true},
 		{name: "not confirmed", reply: peer.HeartbeatReply{IsLeader: true, Term: 3, SinceConfirmed: 2 * time.Second},
 			wakes: true},
-		{name: "another process", reply: peer.HeartbeatReply{}, exited: true, wakes: true},
+		{name: "another process", reply: peer.HeartbeatReply{Boot: "e0.2"}, exited: true, wakes: true},
+		{name: "another process of a former build", reply: peer.HeartbeatReply{}, exited: true, wakes: true},
+		{name: "does not know yet that it leads", reply: peer.HeartbeatReply{Boot: "e0.1"}, wakes: true},
 		{name: "silent", err: context.DeadlineExceeded, wakes: true},
 		{name: "ended", err: syscall.ECONNREFUSED, exited: true, wakes: true},
 	}
@@ -115,7 +117,7 @@
 			var tracker fakeTracker
 			r := New("e1", nil, &fakeLeader{}, nil, zap.NewNop())
 			r.SetLeaderTracker(&tracker)
-			r.handleHeartbeat(elect.LeaderRecord{Term: 3}, x.reply, x.err)
+			r.handleHeartbeat(elect.LeaderRecord{Boot: "e0.1", Term: 3}, x.reply, x.err)
 			if r.Alive(3) != x.alive || r.ProcessExited(3) != x.exited || r.StoreRefused(3) != x.refused ||
 				(tracker > 0) != x.wakes {
 				t.Errorf("alive %t, exited %t, refused %t, %d wakes", r.Alive(3), r.ProcessExited(3), r.StoreRefused(3), tracker)
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -96,6 +96,10 @@
 	Stamp           time.Duration `json:"stamp,omitempty"`
 	// Interval is the time until the leader wants the next heartbeat; 0 leaves it to the sender.
 	Interval time.Duration `json:"interval,omitempty"`
+	// Boot identifies the process that replies, Ended means that it has led in the term of the request, or a later one, and
+	// no longer does.
+	Boot  string `json:"boot,omitempty"`
+	Ended bool   `json:"ended,omitempty"`
 }
 
 // Validate returns an error for an invalid message.
