plan/assign: Keep a relay until the others have half a relay's workers to spare

The log had a line for each change of the number of workers.

Change: hysteresis of half a relay's workers; a line in the log only when the relays change.

--- a/internal/plan/assign/assign.go
+++ b/internal/plan/assign/assign.go
@@ -121,7 +121,12 @@
 	for _, w := range workers {
 		need[w.Zone]++
 	}
-	count := min(p.count(len(workers), need), len(instances))
+	count := p.count(len(workers), need)
+	if present := len(p.relays); present > count {
+		// Half a relay's workers more, so that relays don't come and go with a few workers.
+		count = min(present, p.count(len(workers)+p.options.WorkersPerRelay/2, need))
+	}
+	count = min(count, len(instances))
 	present := map[string]bool{}
 	for _, r := range p.relays {
 		present[r.Name] = true
--- a/internal/serve/leader/relays.go
+++ b/internal/serve/leader/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -54,13 +55,9 @@
 			relays[r]++
 		}
 	}
-	if old := s.relayOf.Load(); old == nil || len(*old) != len(used) {
-		names := make([]string, 0, len(relays))
-		for r := range relays {
-			names = append(names, r)
-		}
-		slices.Sort(names)
-		s.log.Info("leader: relays in use", zap.String("relays", strings.Join(names, ",")), zap.Int("workers", len(used)),
+	if names := strings.Join(slices.Sorted(maps.Keys(relays)), ","); s.relayOf.Load() == nil || names != s.relayNames {
+		s.relayNames = names
+		s.log.Info("leader: relays in use", zap.String("relays", names), zap.Int("workers", len(used)),
 			zap.Int("direct", len(wanted)-len(used)))
 	}
 	s.relayOf.Store(&used)
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -75,6 +75,8 @@
 	// relays is nil without relays; relayOf names the relay of each worker and is replaced as a whole.
 	relays  atomic.Pointer[relay.Pool]
 	relayOf atomic.Pointer[assign.Assignment]
+	// relayNames are the relays in use, for the log; only relayLoop uses it.
+	relayNames string
 	// work is what was done since the last report in the log.
 	work loadLog
 	// pools is the state of the pools at the last decision on moves; mu guards it.
