sched/engine: A start meant for a worker's former incarnation may reach the new one

Cause: when a worker restarted under its id, its runs were released at once. A start without a reply may be executed seconds late, and the call names the worker by its id alone, so that the new incarnation could run it beside the next run of the task; the same for a start that the new incarnation confirmed before the restart was known, and for one of a former leader, whose lower fencing token the new incarnation accepts until it has seen a higher one.

Change: a run that the former incarnation did not list is stopped in the new one and counts as possible until the stop is confirmed and a later list lacks it, or, if the worker is silent, until a late start has lost its lease. A worker that may run tasks of a former leader stays so over a restart until its run lists are read. Which crashes count is as before.

--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -18,6 +18,8 @@
 type Options struct {
 	// Lease is how long a worker runs its tasks without a renewal, on its own clock.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants, whatever it is asked for; 0 means that it is Lease.
+	MaxLease time.Duration
 	// Authority is how long a former leader may go on sending commands after it lost contact.
 	Authority time.Duration
 	// JobRetention is how long ended jobs are kept.
--- a/internal/sched/engine/giveup.go
+++ b/internal/sched/engine/giveup.go
@@ -25,17 +25,22 @@
 // giveUpRuns releases the runs of a worker although their ends are not known. The worker remembers them, so that the
 // log can tell what had become of them if it replies again.
 func (sc *Scheduler) giveUpRuns(w *worker, reason string) {
-	now := time.Now()
-	for key, r := range w.runs {
-		if w.givenUp == nil {
-			w.givenUp = map[work.RunKey]givenUpRun{}
-		}
-		w.givenUp[key] = givenUpRun{reason: reason, at: now, confirmedFor: r.confirmedFor(), started: r.phase == active,
-			lateStart: r.lateStart}
+	for _, r := range w.runs {
+		r.rememberGivenUp(reason)
 		sc.releaseRun(r)
 	}
 }
 
+// rememberGivenUp records with the worker that a run is given up.
+func (r *run) rememberGivenUp(reason string) {
+	w := r.worker
+	if w.givenUp == nil {
+		w.givenUp = map[work.RunKey]givenUpRun{}
+	}
+	w.givenUp[r.key] = givenUpRun{reason: reason, at: time.Now(), confirmedFor: r.confirmedFor(), started: r.phase == active,
+		lateStart: r.lateStart}
+}
+
 // logGivenUp logs what a worker reports of a run that was given up: an end, or that it is active. It also logs whether
 // the leases that this leader sent have expired on the worker's clock, and how many other runs the task has.
 func (sc *Scheduler) logGivenUp(w *worker, key work.RunKey, state string) {
--- a/internal/sched/engine/unknown.go
+++ b/internal/sched/engine/unknown.go
@@ -9,6 +9,9 @@
 // reasonStartUnknown is the reason of stops that rule out a start of unknown outcome.
 const reasonStartUnknown = "start outcome unknown"
 
+// lateCommandTime is how long after its sending a worker may execute a command whose reply is missing.
+const lateCommandTime = 10 * time.Second
+
 // A start of unknown outcome is repeated: the worker confirms it if the run is there or begins it now, and declines it
 // as outdated if the run has ended. A stop in its place may end the run long after the start was executed late. Starts
 // that may not happen any more are stopped.
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -1,9 +1,6 @@
 package engine
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +35,8 @@
 	clockReadAt time.Time
 	// lastLeaseEnd is the latest expiry of the leases sent to the worker, in milliseconds of its clock.
 	lastLeaseEnd int64
+	// lateStartsUntil is until when runs may exist whose start was meant for a former incarnation; zero if there are none.
+	lateStartsUntil time.Time
 	// The worker numbers the ends of its runs. handledEnd is the number of the last end handled, ackedEnd that of the
 	// last one whose result is stored.
 	handledEnd, ackedEnd int64
@@ -194,27 +193,6 @@
 // ended by mistake.
 const endedTTL = 6 * time.Second
 
-// handleRestart releases the runs of a worker that has restarted and resets what depends on its incarnation: whether it
-// is confirmed or ended, its end numbers, its clock and its leases.
-func (sc *Scheduler) handleRestart(w *worker, incarnation int64) {
-	sc.log.Info("engine: worker restarted; releasing its runs", zap.String("worker", string(w.ID)),
-		zap.Int64("born", incarnation), zap.Int64("former", w.Incarnation), zap.Int("runs", len(w.runs)))
-	sc.giveUpRuns(w, "worker restarted")
-	sc.recordCrash(w)
-	w.Incarnation = incarnation
-	w.confirmed, w.ended = false, false
-	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
-	w.unackedEnds = nil
-	w.clock, w.lastLeaseEnd = 0, 0
-	w.clockReadAt = time.Time{}
-	w.largestCapacity = work.Need{}
-	w.cordoned, w.closed = false, false
-	sc.index.updateDraining(w)
-	sc.index.updateUnacked(w)
-	delete(sc.inherited, w.ID)
-	sc.touch(w)
-}
-
 // markEnded releases the runs of a worker that has certainly ended, for a reason that the log names.
 func (sc *Scheduler) markEnded(w *worker, reason string) {
 	if w.ended {
@@ -346,77 +324,6 @@
 		w.responsive() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
-// evict stops long-running tasks on leaving workers, those on cordoned workers as far as disruption budgets and free
-// capacity allow, and finite tasks, except those of gangs, that can't finish before their worker leaves, so that all
-// continue elsewhere.
-func (sc *Scheduler) evict(now time.Time) {
-	var list []*worker
-	for _, w := range sc.index.draining {
-		if !w.ended {
-			list = append(list, w)
-		}
-	}
-	// The order decides which tasks leave first, so it must be deterministic.
-	slices.SortFunc(list, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
-	for _, w := range list {
-		for _, r := range slices.SortedFunc(maps.Values(w.runs), func(x, y *run) int {
-			return x.key.Task.Compare(y.key.Task)
-		}) {
-			if r.stepState == nil || r.stopRequested {
-				continue
-			}
-			s := r.stepState
-			if s.spec.LongRunning {
-				if w.Leaving || sc.canEvict(r, now) && sc.canRelocate(r, now) {
-					sc.requestStop(r, "worker is leaving or cordoned")
-				}
-				continue
-			}
-			if !w.Leaving {
-				continue
-			}
-			remaining := sc.estimate(s.job.Queue, *s.spec) - now.Sub(r.startedAt)
-			if remaining > w.DrainTime+drainMargin && !s.spec.Gang {
-				sc.requestStop(r, "worker leaves before the run can finish")
-			}
-		}
-	}
-}
-
-// minRelocationInterval is the least time that a long-running task stays on a cordoned worker before it may be moved
-// again.
-const minRelocationInterval = 3 * time.Second
-
-// canRelocate reports whether a long-running task may leave a cordoned worker: it has been there for
-// minRelocationInterval, and the other usable workers that it fits on and that aren't cordoned outnumber the long-running
-// tasks of its pool that wait, are stopping or are starting, so that two tasks don't leave for the same free capacity.
-func (sc *Scheduler) canRelocate(r *run, now time.Time) bool {
-	if now.Sub(r.startedAt) < minRelocationInterval {
-		return false
-	}
-	competing := 0
-	for s := range sc.pool(r.worker.Pool).ready {
-		if s.spec.LongRunning {
-			competing += s.waiting
-		}
-	}
-	fitting := 0
-	for _, w := range sc.index.byPool[r.worker.Pool] {
-		for _, o := range w.runs {
-			if o.stepState != nil && o.stepState.spec.LongRunning && (o.stopRequested || o.phase != active) {
-				competing++
-			}
-		}
-		if w != r.worker && !w.cordoned && sc.usable(w, now) && sc.fits(r.stepState, w) {
-			fitting++
-		}
-	}
-	return fitting > competing
-}
-
-// drainMargin is how much longer than its announced drain time a leaving worker is expected to run.
-const drainMargin = 500 * time.Millisecond
-
 // releaseRun removes a run and frees what it reserves; its task waits again unless it is complete or has other runs.
 func (sc *Scheduler) releaseRun(r *run) {
 	w, s := r.worker, r.stepState
@@ -446,10 +353,14 @@
 
 // leasesEnd returns when every lease of a worker has certainly expired, those of former leaders included.
 func (sc *Scheduler) leasesEnd(w *worker) time.Time {
+	end := w.leaseExpiry()
 	if sc.inherited[w.ID] != nil {
-		return sc.inheritedUntil
+		end = sc.inheritedUntil
+	}
+	if w.lateStartsUntil.After(end) {
+		return w.lateStartsUntil
 	}
-	return w.leaseExpiry()
+	return end
 }
 
 // mayRun reports whether runs may exist on a worker, perhaps ones of a former leader.
