sched/engine: A long-running task is available once its worker reports that it is at work

Cause: the percentage that workers report of a run was taken for its speed. So a long-running task counted as unavailable for 2 s after each move, and all of them for 2 s after a takeover, in which also none was moved for 3 s.

Change: available means reported at 100 percent, which is stronger evidence than time; tasks that a former leader started may be moved at once; a worker is asked every 0.2 s while such a task starts up on it.

--- a/internal/model/work/worker.go
+++ b/internal/model/work/worker.go
@@ -65,7 +65,7 @@
 	Run RunKey
 	// Checkpoint is the last checkpoint written, or "".
 	Checkpoint string
-	// Percent is the run's current speed in percent of its full speed.
+	// Percent is the progress of a finite run, and for a long-running one that of its startup: at 100 it is at work.
 	Percent int
 	// LoadSignal is the tail latency in milliseconds of a serving task, or the CPU in use of another task.
 	LoadSignal int64
--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -167,17 +167,14 @@
 	return unavailable < s.spec.MaxUnavailable
 }
 
-// isAvailable reports whether a long-running task counts as available: it has run long enough on a responsive worker,
-// was last reported at full speed and is not being stopped.
+// isAvailable reports whether a long-running task counts as available: a responsive worker has reported that it is at
+// work, and it is not being stopped.
 func (sc *Scheduler) isAvailable(t *task, now time.Time) bool {
 	for _, r := range t.runs {
-		if r.phase == active && !r.stopRequested && !sc.mayBeStoppedLate(r, now) && r.speed >= 100 && r.worker.unresponsiveSince.IsZero() &&
-			now.Sub(r.startedAt) >= sc.options.Startup+startupMargin {
+		if r.phase == active && !r.stopRequested && !sc.mayBeStoppedLate(r, now) && r.percent >= 100 &&
+			r.worker.unresponsiveSince.IsZero() {
 			return true
 		}
 	}
 	return false
 }
-
-// startupMargin is how much longer than its startup time a long-running task must run to count as available.
-const startupMargin = time.Second
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -27,8 +27,6 @@
 	// MaxReportAge is how old the workers' reports may be for starts on workers that don't reject tasks which don't fit;
 	// 0 means no limit.
 	MaxReportAge time.Duration
-	// Startup is how long a long-running task takes until it is available.
-	Startup time.Duration
 }
 
 // Defaults of Options.
@@ -36,7 +34,6 @@
 	DefaultLease        = 6 * time.Second
 	DefaultAuthority    = 2500 * time.Millisecond
 	DefaultJobRetention = 150 * time.Second
-	DefaultStartup      = time.Second
 )
 
 // clockDrift is the fraction by which a worker's clock may run slower than the local one, as the platform guarantees.
@@ -156,8 +153,7 @@
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
-	return Options{Lease: DefaultLease, Authority: DefaultAuthority, JobRetention: DefaultJobRetention,
-		Startup: DefaultStartup}
+	return Options{Lease: DefaultLease, Authority: DefaultAuthority, JobRetention: DefaultJobRetention}
 }
 
 // Configure applies a version of the operators' config. Waiting steps move to the pools that their queues have in it.
--- a/internal/sched/engine/evict.go
+++ b/internal/sched/engine/evict.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// minRelocationInterval is the least time that a long-running task stays on a cordoned worker before it may be moved
-// again.
+// minRelocationInterval is the least time that a long-running task that this leader started stays on a cordoned worker
+// before it may be moved again.
 const minRelocationInterval = 3 * time.Second
 
 // relocations decides in one pass which long-running tasks may leave cordoned workers.
@@ -60,11 +60,11 @@
 	fitting   map[*stepState]int
 }
 
-// allow reports whether a long-running task may leave a cordoned worker: it has been there for minRelocationInterval, and
-// the workers that it fits on outnumber the competing tasks of its pool, so that two tasks don't leave for the same free
+// allow reports whether a long-running task may leave a cordoned worker: it has been there for long enough, and the
+// workers that it fits on outnumber the competing tasks of its pool, so that two tasks don't leave for the same free
 // capacity.
 func (m *relocations) allow(r *run) bool {
-	return m.now.Sub(r.startedAt) >= minRelocationInterval && m.fittingWorkers(r) > m.competingTasks(r.worker.Pool)
+	return (r.adopted || m.now.Sub(r.startedAt) >= minRelocationInterval) && m.fittingWorkers(r) > m.competingTasks(r.worker.Pool)
 }
 
 // noteStop records that a long-running task is being stopped.
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -118,6 +118,8 @@
 	stepState *stepState
 	worker    *worker
 	phase     phase
+	// adopted means that a former leader started the run, at a time that is not known.
+	adopted bool
 	// repeated means that the start was sent more than once.
 	repeated bool
 	// finiteIndex is the run's place among the finite runs of its worker.
@@ -133,14 +135,14 @@
 	stopRequested             bool
 	stopSentAt, stopAppliedAt time.Time
 	stopReason                string
-	// speed and loadSignal are the worker's last report of the run, see work.Active.
-	speed      int
+	// percent and loadSignal are the worker's last report of the run, see work.Active.
+	percent    int
 	loadSignal int64
 	// aboveSince is since when a serving run has been above its latency objective; zero if it is not.
 	aboveSince time.Time
 	// belowSince is since when it has been well below; zero if it is not.
 	belowSince time.Time
-	// throttle is the speed limit in percent last applied, or the speed at which the run was adopted; throttlePending
+	// throttle is the speed limit in percent last applied, or the percentage with which the run was adopted; throttlePending
 	// means that a throttle command is outstanding.
 	throttle        int
 	throttlePending bool
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -427,7 +427,7 @@
 	s.gangNumber = max(s.gangNumber, number)
 	r := &run{
 		key: work.RunKey{Task: s.task(index), Number: number}, stepState: s, worker: w, phase: startSent,
-		need: s.need, charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100, speed: 100,
+		need: s.need, charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100,
 		lateStart: w.cordoned,
 	}
 	t.runs = append(t.runs, r)
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -23,6 +23,9 @@
 	commitWait = 250 * time.Millisecond
 	// unresolvedRenewInterval is the time between renewals while the start of a run is unknown or a run is stopping.
 	unresolvedRenewInterval = 60 * time.Millisecond
+	// startupRenewInterval is the time between renewals while a long-running task with a disruption budget starts up: until
+	// it is known to be at work, others of its step can't be moved.
+	startupRenewInterval = 200 * time.Millisecond
 	// unresponsiveBackoff is the time per failure between renewals of a worker that does not reply, up to
 	// maxUnresponsiveBackoff.
 	unresponsiveBackoff    = 250 * time.Millisecond
@@ -88,22 +91,29 @@
 			return o, unresolvedRenewInterval, true
 		}
 	}
-	o.Wait = renewalWait
-	if w.hasFiniteRuns() {
+	switch {
+	case w.hasFiniteRuns():
 		o.Wait = FiniteRenewalWait
+	case w.startsUp():
+		return o, startupRenewInterval, true
+	default:
+		o.Wait = renewalWait
 	}
 	return o, renewInterval, true
 }
 
-func (w *worker) hasFiniteRuns() bool {
+// startsUp reports whether a long-running task with a disruption budget is not known to be at work yet.
+func (w *worker) startsUp() bool {
 	for _, r := range w.runs {
-		if r.stepState != nil && !r.stepState.spec.LongRunning {
+		if s := r.stepState; s != nil && s.spec.HasMaxUnavailable && r.phase == active && r.percent < 100 {
 			return true
 		}
 	}
 	return false
 }
 
+func (w *worker) hasFiniteRuns() bool { return len(w.finiteRuns) > 0 }
+
 // PrepareRenewal sets the lease expiry of a renewal that is about to be sent, if it extends the lease.
 func (sc *Scheduler) PrepareRenewal(o Renewal) Renewal {
 	if w, ok := sc.workers[o.Worker]; ok && o.ExtendLease {
@@ -201,7 +211,7 @@
 		sc.keepStartedRun(r)
 		r.listedAt = sent
 		r.checkpoint = a.Checkpoint
-		r.speed, r.loadSignal = a.Percent, a.LoadSignal
+		r.percent, r.loadSignal = a.Percent, a.LoadSignal
 		sc.observeLatency(r)
 		sc.clearSuspicion(r)
 	}
@@ -232,7 +242,8 @@
 func (sc *Scheduler) adopt(w *worker, a work.Active) *run {
 	now := time.Now()
 	sc.logGivenUp(w, a.Run, "active")
-	r := &run{key: a.Run, worker: w, phase: active, startedAt: now, phaseSince: now, speed: a.Percent, throttle: a.Percent}
+	r := &run{key: a.Run, worker: w, phase: active, startedAt: now, phaseSince: now, adopted: true, percent: a.Percent,
+		throttle: a.Percent}
 	w.runs[a.Run] = r
 	s := sc.findStep(a.Run.Task)
 	if s == nil {
@@ -323,7 +334,7 @@
 	switch {
 	case s.spec.LongRunning:
 	case e.How == work.Done:
-		if r != nil && r.speed != 0 {
+		if r != nil && r.throttle != 0 {
 			sc.observeRunTime(s.job.Queue, s.spec, time.Since(r.startedAt))
 		}
 		if s.spec.Gang {
