plan/waves: Drain machines with long-running tasks early enough for their budgets

Cause: such machines came after all empty ones and at the pace of machines that take 2 s to become empty.

Change: they have a pace of their own, by the time that the steps' budgets need. A renewal while a task with a budget starts up asks the relay for the first reply.

--- a/internal/sched/engine/evict.go
+++ b/internal/sched/engine/evict.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
 )
 
 // evict stops long-running tasks on leaving workers, those on cordoned workers as far as disruption budgets and free
@@ -116,3 +118,29 @@
 
 // drainMargin is how much longer than its announced drain time a leaving worker is expected to run.
 const drainMargin = 500 * time.Millisecond
+
+// relocationTime is how long a long-running task that leaves a worker is unavailable: its stop, its start elsewhere and its
+// startup.
+const relocationTime = 1500 * time.Millisecond
+
+// VacateTime estimates how long it takes until the long-running tasks of some workers have left, if as many leave at a time
+// as the disruption budgets allow. Tasks whose budgets allow none don't count.
+func (sc *Scheduler) VacateTime(ids []work.WorkerID) time.Duration {
+	leaving := map[*stepState]int{}
+	rounds := 0
+	for _, id := range ids {
+		w, ok := sc.workers[id]
+		if !ok {
+			continue
+		}
+		for _, r := range w.runs {
+			s := r.stepState
+			if s == nil || !s.spec.HasMaxUnavailable || s.spec.MaxUnavailable == 0 {
+				continue
+			}
+			leaving[s]++
+			rounds = max(rounds, (leaving[s]+s.spec.MaxUnavailable-1)/s.spec.MaxUnavailable)
+		}
+	}
+	return time.Duration(rounds) * relocationTime
+}
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -47,6 +47,8 @@
 	AckedEnd int64
 	// Wait is how long the worker may delay its reply until a run ends; 0 asks for a reply at once.
 	Wait time.Duration
+	// Prompt asks a relay to report the first reply, and not to repeat the renewal until a run ends.
+	Prompt bool
 	// Patient means that tasks will start elsewhere if there is no reply: it is worth a new connection and a long
 	// time-out.
 	Patient bool
@@ -91,10 +93,11 @@
 			return o, unresolvedRenewInterval, true
 		}
 	}
+	o.Prompt = w.startsUp()
 	switch {
 	case w.hasFiniteRuns():
 		o.Wait = FiniteRenewalWait
-	case w.startsUp():
+	case o.Prompt:
 		return o, startupRenewInterval, true
 	default:
 		o.Wait = renewalWait
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -98,6 +98,8 @@
 	calling           bool
 	// retryAt is the end of the pause after a call with the result Unavailable or Unknown.
 	retryAt time.Time
+	// slow means that the machine ran long-running tasks when its maintenance was decided.
+	slow bool
 	// uncertain means that the result of a call was Unknown, so that the platform may still carry it out.
 	uncertain bool
 }
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -119,7 +119,8 @@
 // planWave does that for one wave and returns the workers of the machines that are still to be maintained.
 func (m *mover) planWave(ctx context.Context, w rules.Wave, state *waveState) []work.WorkerID {
 	var pending []Machine
-	inProgress, draining, otherWork := 0, 0, 0
+	inProgress, draining, slowDraining, otherWork := 0, 0, 0, 0
+	var slow []work.WorkerID
 	for _, name := range w.Machines {
 		x, ok := m.machines[name]
 		op := m.operations[name]
@@ -133,6 +134,10 @@
 			inProgress++
 			if op != nil && op.wave == w.Number && op.sentAt.IsZero() {
 				draining++
+				if m.kind(x) == waves.Slow {
+					slowDraining++
+					slow = append(slow, work.WorkerID(x.Worker))
+				}
 			}
 		case waves.Finished:
 		}
@@ -143,27 +148,35 @@
 	}
 	m.reportWave(ctx, w.Number, state, false)
 	slices.SortFunc(pending, func(a, b Machine) int {
-		return cmp.Or(cmp.Compare(m.effort(a), m.effort(b)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(m.kind(a), m.kind(b)), cmp.Compare(a.Name, b.Name))
 	})
+	slowPending := 0
+	for _, x := range pending {
+		if m.kind(x) == waves.Slow {
+			slowPending++
+			slow = append(slow, work.WorkerID(x.Worker))
+		}
+	}
 	state.limit, state.down = w.Cap, inProgress-draining
 	progress := waves.Progress{Pending: len(pending), InProgress: inProgress, Draining: draining, Cap: w.Cap,
 		Within: w.Within, Scarce: m.scarce, Elapsed: time.Since(time.UnixMilli(state.FirstSeen)),
-		Maintenance: m.session.service.Moves.Maintenance, DrainTime: state.drainTime}
+		Maintenance: m.session.service.Moves.Maintenance, DrainTime: state.drainTime,
+		SlowPending: slowPending, SlowDraining: slowDraining, VacateTime: m.session.scheduler.VacateTime(slow)}
 	var due []work.WorkerID
 	for _, x := range pending {
 		if x.Worker != "" {
 			due = append(due, work.WorkerID(x.Worker))
 		}
-		r := m.session.scheduler.Usage(work.WorkerID(x.Worker))
-		empty := r.Runs == 0 && (r.Known || r.Ended)
-		if !x.Up || r.Leaving || time.Now().Before(m.busyUntil[x.Name]) || !m.mayOperate(x) || !progress.Allows(empty) {
+		r, kind := m.session.scheduler.Usage(work.WorkerID(x.Worker)), m.kind(x)
+		if !x.Up || r.Leaving || time.Now().Before(m.busyUntil[x.Name]) || !m.mayOperate(x) || !progress.Allows(kind) {
 			continue
 		}
-		progress = progress.Take(empty)
+		progress = progress.Take(kind)
 		m.session.log.Info("leader: starting the maintenance of a machine once it is empty", zap.String("machine", x.Name),
 			zap.String("pool", x.Pool), zap.Int64("wave", w.Number), zap.Int("runs", r.Runs), zap.Int("lasting", r.LongRunning),
 			zap.Int("left", progress.Pending), zap.Int("down", progress.InProgress), zap.Bool("scarce", m.scarce))
-		m.operations[x.Name] = &operation{machine: x.Name, worker: x.Worker, wave: w.Number, plannedAt: time.Now()}
+		m.operations[x.Name] = &operation{machine: x.Name, worker: x.Worker, wave: w.Number, plannedAt: time.Now(),
+			slow: kind == waves.Slow}
 		m.session.scheduler.Cordon(work.WorkerID(x.Worker), true)
 	}
 	return due
@@ -188,17 +201,16 @@
 		time.Since(time.UnixMilli(incarnation)) >= time.Since(m.startedAt)+takeoverPause+clockSkewMargin
 }
 
-// effort ranks machines for maintenance: machines that are off or empty come first. Those with long-running tasks come
-// before the other busy ones, because they take longest to become empty.
-func (m *mover) effort(x Machine) int {
+// kind returns what runs on a machine. What is not known counts as busy.
+func (m *mover) kind(x Machine) waves.Kind {
 	r := m.session.scheduler.Usage(work.WorkerID(x.Worker))
 	switch {
-	case r.Runs == 0:
-		return 0
+	case r.Runs == 0 && (r.Known || r.Ended):
+		return waves.Empty
 	case r.LongRunning > 0:
-		return 1
+		return waves.Slow
 	}
-	return 2
+	return waves.Busy
 }
 
 // drainGain is the weight of a new drain time in the moving average.
@@ -215,7 +227,7 @@
 		return false
 	}
 	state.down++
-	if d := time.Since(op.plannedAt); d > moveInterval {
+	if d := time.Since(op.plannedAt); d > moveInterval && !op.slow {
 		state.drainTime = cmp.Or(state.drainTime, waves.DefaultDrainTime)
 		state.drainTime += time.Duration(drainGain * float64(d-state.drainTime))
 	}
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -192,6 +192,18 @@
 	})
 }
 
+// Guards against a wave that waits for a task to be at work, because its relay repeats the renewal until a run ends.
+func TestPromptRenewal(t *testing.T) {
+	testRelay(t, func(s *setup) {
+		s.pool.Send("r", []relay.Order{{Sent: time.Now(), Renewal: engine.Renewal{Worker: "w", Address: "w:1", ExtendLease: true,
+			LeaseEnd: 6000, Wait: 150 * time.Millisecond, Prompt: true}}})
+		pass(200 * time.Millisecond)
+		if got := s.outcomes(); got[engine.Applied] != 1 || s.workers.renewals != 1 {
+			t.Errorf("outcomes %v after %d calls of the worker", got, s.workers.renewals)
+		}
+	})
+}
+
 // Guards against a relay that executes orders long after they were sent, because the network held them up: their leader
 // may have decided otherwise, or may lead no more.
 func TestHeldUpOrdersAreWithheld(t *testing.T) {
--- a/internal/serve/relay/wire.go
+++ b/internal/serve/relay/wire.go
@@ -42,7 +42,10 @@
 		r := peer.RenewalOrder{Target: target(id, o.Renewal.Worker, o.Renewal.Address), LeaseEnd: o.Renewal.LeaseEnd,
 			AckedEnd: o.Renewal.AckedEnd}
 		if o.Renewal.Wait > 0 {
-			r.Wait, r.Poll = renewalWait, o.Renewal.Wait
+			r.Poll = o.Renewal.Wait
+			if !o.Renewal.Prompt {
+				r.Wait = renewalWait
+			}
 		}
 		m.Renewals = append(m.Renewals, r)
 	}
