leader: Don't move machines whose maintenance is overdue

Change: when only the time that is reserved for delays is left, machines of the wave are not moved before their maintenance. TestOverdueMachinesAreNotMoved fails without it.

--- a/internal/plan/waves/waves.go
+++ b/internal/plan/waves/waves.go
@@ -55,6 +55,9 @@
 	return time.Duration(float64(p.Within)*(1-reservedShare)) - p.Elapsed
 }
 
+// Late reports whether only the time that is reserved for delays is left.
+func (p Progress) Late() bool { return p.remaining() <= 0 }
+
 // RequiredParallelism returns how many machines must be in progress at once so that the wave completes in time: at most
 // as many as may be in maintenance and being drained. It is that if the remaining time is too short for one more machine.
 func (p Progress) RequiredParallelism() int {
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -119,6 +119,8 @@
 	// busyUntil is the end of the pause after a Busy result for each machine.
 	busyUntil map[string]time.Time
 	waves     map[int64]*waveState
+	// overdue are the machines whose maintenance has not begun in a wave that is late.
+	overdue map[string]bool
 	// startedAt is when this leader began its work after the load, reportedAt when the pools were last logged.
 	startedAt, reportedAt time.Time
 	// scarce means that at least one pool has less CPU than it needs.
@@ -131,7 +133,7 @@
 	}
 	m := &mover{session: s, planner: shift.New(s.service.Moves.Shift), machines: map[string]Machine{},
 		operations: map[string]*operation{}, refusedPools: map[string][]string{}, busyUntil: map[string]time.Time{},
-		waves: s.waves, startedAt: time.Now()}
+		waves: s.waves, overdue: map[string]bool{}, startedAt: time.Now()}
 	pace.Every(ctx, moveInterval, nil, m.pass)
 }
 
@@ -370,7 +372,7 @@
 			}
 		} else {
 			r := s.scheduler.Usage(work.WorkerID(x.Worker))
-			free := x.Up && m.mayOperate(x) && time.Now().After(m.busyUntil[x.Name]) && !r.Leaving
+			free := x.Up && m.mayOperate(x) && time.Now().After(m.busyUntil[x.Name]) && !r.Leaving && !m.overdue[x.Name]
 			o.Empty = free && r.Runs == 0 && (o.Off || r.Known)
 			// Tasks that run for longer than expected may never end, so their machines don't count as drainable.
 			o.Drainable = free && r.Known && r.LongRunning == 0 && r.RemainingTime > 0
--- a/internal/serve/leader/moves_test.go
+++ b/internal/serve/leader/moves_test.go
@@ -10,7 +10,9 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/plan/shift"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/state/rules"
 )
 
 // fakeMachines returns the replies in turn to requests for the list of machines; a nil reply is an error. It has
@@ -154,3 +156,37 @@
 		}
 	})
 }
+
+// Load pattern: the end of a wave while a queue's turn asks for machines. Guards against machines of the wave that are moved
+// to the queue's pool in the time that is left for their maintenance.
+func TestOverdueMachinesAreNotMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config := work.NewConfig(work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 1}},
+			Pools: map[string]work.Pool{"p": {Name: "p"}, "off": {Name: "off", Spare: true}}})
+		s := &session{log: zap.NewNop(), scheduler: engine.New(engine.DefaultOptions(), 1, nil), service: &Service{}}
+		s.scheduler.Configure(config)
+		s.scheduler.SetWorkers([]work.Worker{{ID: "w", Pool: "p", Capacity: work.Need{CPU: 1000}}})
+		s.scheduler.HandleRenewal(engine.Renewal{Worker: "w"}, work.RenewalReply{}, time.Now())
+		if _, err := s.scheduler.Submit(work.Job{ID: "0123456789abcdef", Queue: "q", Accepted: time.Now().UnixMilli(),
+			Steps: []work.Step{{Count: 9, Need: work.Need{CPU: 1000}, Estimate: time.Second}}}); err != nil {
+			t.Fatal(err)
+		}
+		batch, err := s.scheduler.Batch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.scheduler.HandleCommit(batch)
+		m := &mover{session: s, planner: shift.New(shift.Default()), operations: map[string]*operation{},
+			busyUntil: map[string]time.Time{}, overdue: map[string]bool{"m1": true}, machines: map[string]Machine{}}
+		for _, name := range []string{"m1", "m2"} {
+			m.machines[name] = Machine{Name: name, Pool: "off", Up: true, Capacity: work.Need{CPU: 4000}}
+		}
+		for range 20 {
+			time.Sleep(moveInterval)
+			m.planMoves(rules.Rules{Config: config})
+		}
+		if m.operations["m1"] != nil || m.operations["m2"] == nil {
+			t.Errorf("operations: %v", m.operations)
+		}
+	})
+}
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -102,6 +102,7 @@
 		return
 	}
 	var due []work.WorkerID
+	clear(m.overdue)
 	for number, w := range current.Waves {
 		state, ok := m.waves[number]
 		if !ok {
@@ -164,6 +165,7 @@
 		SlowPending: slowPending, SlowDraining: slowDraining, VacateTime: m.session.scheduler.VacateTime(slow)}
 	var due []work.WorkerID
 	for _, x := range pending {
+		m.overdue[x.Name] = progress.Late()
 		if x.Worker != "" {
 			due = append(due, work.WorkerID(x.Worker))
 		}
