state/grant: Check grant records when they are decoded

Cause: a record with a negative turn, or a huge one, made the division of a ceiling index out of range, in each entry instance that read it: one malformed row ended all processes, again after each restart. Other negative numbers gave grants that nothing backs.

Change: records with negative or too large numbers are rejected, as rows that can't be decoded are: the grant stays unchanged, and the log says so.

--- a/internal/state/grant/plan.go
+++ b/internal/state/grant/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/fleet"
@@ -26,6 +27,21 @@
 	Turn int `json:"turn,omitempty"`
 }
 
+// maxCount bounds the numbers in a record, none of which may be negative.
+const maxCount = 1 << 30
+
+// Validate checks a record after decoding.
+func (r record) Validate() error {
+	valid := r.Turn >= 0 && r.Turn <= maxCount
+	for _, h := range r.Holdings {
+		valid = valid && min(h.Held, h.Want, h.Unit) >= 0 && max(h.Held, h.Want, h.Unit) <= maxCount
+	}
+	if !valid {
+		return errors.New("grant: record with a negative or too large number")
+	}
+	return nil
+}
+
 func (r record) total() int {
 	n := 0
 	for _, h := range r.Holdings {
--- a/internal/state/grant/reconcile.go
+++ b/internal/state/grant/reconcile.go
@@ -163,8 +163,13 @@
 	if !ok {
 		return t, nil
 	}
-	err := json.Unmarshal(i.Value, &t)
-	return t, err
+	if err := json.Unmarshal(i.Value, &t); err != nil {
+		return t, err
+	}
+	if v, ok := any(t).(interface{ Validate() error }); ok {
+		return t, v.Validate()
+	}
+	return t, nil
 }
 
 // reconcileTeam brings one team's grant towards its target and reports whether peers are to be notified.
