Panics in handlers and orders don't end the process

Cause: a panic in the handler of a peer's call, in the execution of an order or in a request ended the whole process, and the message that caused it went to the next instance: peers' calls and orders had no recovery at all.

Change: a peer's call fails alone; an order has no reply; a request that panics in the leader ends the term, since the scheduler may hold half of a change, and is answered "unknown"; its locks are released. Each is logged with its stack.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -172,7 +172,7 @@
 			record, ok := e.Leader()
 			return record, ok && h.leader.IsLeader()
 		}}
-	server := peer.NewServer(secret)
+	server := peer.NewServer(secret, peer.WithLog(h.Log))
 	r.Serve(server)
 	relay.NewServer(h.Leader.Workers, func() int64 {
 		record, _ := e.Leader()
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -154,7 +154,7 @@
 	if ss == nil {
 		return peer.JobReply{Result: peer.NotLeader}
 	}
-	return ss.submit(ctx, q)
+	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply { return ss.submit(ctx, q) })
 }
 
 // Job returns the state of a job, or cancels it and returns when that is stored, or with peer.Unknown if the context or
@@ -164,10 +164,12 @@
 	if ss == nil {
 		return peer.JobReply{Result: peer.NotLeader}
 	}
-	if q.Cancel {
-		return ss.cancel(ctx, q.ID)
-	}
-	return ss.state(q.ID)
+	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply {
+		if q.Cancel {
+			return ss.cancel(ctx, q.ID)
+		}
+		return ss.state(q.ID)
+	})
 }
 
 // Waiting returns the number of stored, unfinished jobs of a queue that have started no task.
@@ -176,9 +178,26 @@
 	if ss == nil || !ss.hasAuthority() {
 		return peer.WaitingReply{Result: peer.NotLeader}
 	}
-	ss.mu.Lock()
-	defer ss.mu.Unlock()
-	return peer.WaitingReply{Result: peer.Accepted, Count: ss.scheduler.Waiting(queue)}
+	return guard(ss, peer.WaitingReply{Result: peer.NotLeader}, func() peer.WaitingReply {
+		ss.mu.Lock()
+		defer ss.mu.Unlock()
+		return peer.WaitingReply{Result: peer.Accepted, Count: ss.scheduler.Waiting(queue)}
+	})
+}
+
+// guard answers a request, and ends the term if that panics: the scheduler may hold half of a change. A request whose
+// answer is unknown is sent again, to the next leader.
+func guard[A any](s *session, onPanic A, answer func() A) (a A) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("leader: answering a request panicked, leadership ends", zap.Any("panic", p), zap.Stack("stack"))
+			s.leadership.MarkFailed()
+			s.leadership.MarkLost()
+			wake(s.commitWake)
+			a = onPanic
+		}
+	}()
+	return answer()
 }
 
 // sampleSize is the number of values in the sample of a histogram.
--- a/internal/serve/leader/orders.go
+++ b/internal/serve/leader/orders.go
@@ -48,7 +48,7 @@
 	r := relay.Result{Order: o, Outcome: engine.Withheld}
 	// Authority may have ended since the order was planned, for example while the process was frozen.
 	if s.hasAuthority() {
-		r = relay.Run(ctx, s.service.Workers, o, s.leadership.FencingToken())
+		r = relay.Run(ctx, s.service.Workers, o, s.leadership.FencingToken(), s.log)
 	}
 	if ctx.Err() == nil {
 		s.results.add(r)
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -277,6 +277,13 @@
 	return nil
 }
 
+// locked calls a function with mu held, and releases it also if the function panics.
+func (s *session) locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
 // awaitWritten waits until the store holds a version of a job; it returns false if the session or the context ends
 // first.
 func (s *session) awaitWritten(ctx context.Context, id work.JobID, version int) bool {
@@ -287,9 +294,9 @@
 // session or the context ends first.
 func (s *session) awaitCommit(ctx context.Context, isStored func() bool) bool {
 	for {
-		s.mu.Lock()
-		stored, committed := isStored(), s.committed
-		s.mu.Unlock()
+		var stored bool
+		var committed chan struct{}
+		s.locked(func() { stored, committed = isStored(), s.committed })
 		if stored {
 			return true
 		}
@@ -305,15 +312,20 @@
 
 func (s *session) submit(ctx context.Context, q peer.SubmitRequest) peer.JobReply {
 	j := q.Job
-	s.mu.Lock()
-	if s.steppingDown || s.leadership.Lost() {
-		s.mu.Unlock()
+	var version int
+	var err error
+	var leaving, behind, machinesUnknown bool
+	s.locked(func() {
+		if leaving = s.steppingDown || s.leadership.Lost(); leaving {
+			return
+		}
+		version, err = s.scheduler.Submit(j)
+		behind = s.scheduler.Version() < q.Version
+		machinesUnknown = s.service.Machines != nil && !s.scheduler.KnowsMachines()
+	})
+	if leaving {
 		return peer.JobReply{Result: peer.NotLeader}
 	}
-	version, err := s.scheduler.Submit(j)
-	behind := s.scheduler.Version() < q.Version
-	machinesUnknown := s.service.Machines != nil && !s.scheduler.KnowsMachines()
-	s.mu.Unlock()
 	noWorkerFits := (*engine.NoWorkerFitsError)(nil)
 	switch {
 	case errors.Is(err, engine.ErrUnknownQueue) && behind:
@@ -341,13 +353,14 @@
 }
 
 func (s *session) cancel(ctx context.Context, id work.JobID) peer.JobReply {
-	s.mu.Lock()
-	_, queue, err := s.scheduler.State(id)
+	var queue string
 	var version int
-	if err == nil {
-		version, err = s.scheduler.Cancel(id)
-	}
-	s.mu.Unlock()
+	var err error
+	s.locked(func() {
+		if _, queue, err = s.scheduler.State(id); err == nil {
+			version, err = s.scheduler.Cancel(id)
+		}
+	})
 	if err != nil {
 		return s.notFound()
 	}
@@ -359,9 +372,10 @@
 }
 
 func (s *session) state(id work.JobID) peer.JobReply {
-	s.mu.Lock()
-	state, queue, err := s.scheduler.State(id)
-	s.mu.Unlock()
+	var state work.State
+	var queue string
+	var err error
+	s.locked(func() { state, queue, err = s.scheduler.State(id) })
 	if err != nil {
 		return s.notFound()
 	}
--- a/internal/serve/node/node.go
+++ b/internal/serve/node/node.go
@@ -263,7 +263,7 @@
 }
 
 func (n *Node) servePeers(ctx context.Context) {
-	s := peer.NewServer(n.settings.PeerToken)
+	s := peer.NewServer(n.settings.PeerToken, peer.WithLog(n.log))
 	peer.Handle(s, peer.MethodSync, n.replica.HandleSync)
 	peer.Handle(s, peer.MethodPush, n.replica.HandlePush)
 	peer.Handle(s, peer.MethodNotifyGrants, n.grants.HandleNotifyGrants)
--- a/internal/serve/relay/order.go
+++ b/internal/serve/relay/order.go
@@ -7,6 +7,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 )
@@ -45,9 +47,16 @@
 	Reply   work.RenewalReply
 }
 
-// Run executes an order from this process.
-func Run(ctx context.Context, w Workers, o Order, fence int64) Result {
-	r := Result{Order: o}
+// Run executes an order from this process. An order whose execution panics has no reply: it would end the process of each
+// instance that tries it.
+func Run(ctx context.Context, w Workers, o Order, fence int64, log *zap.Logger) (r Result) {
+	r = Result{Order: o, Outcome: engine.NoReply}
+	defer func() {
+		if p := recover(); p != nil {
+			log.Error("relay: executing an order panicked, its outcome is unknown", zap.String("worker", string(o.Worker())),
+				zap.Any("panic", p), zap.Stack("stack"))
+		}
+	}()
 	if o.Command != nil {
 		r.Outcome = w.Execute(ctx, o.Command, fence)
 	} else {
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -36,6 +36,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if s, ok := c.(engine.Start); ok {
+		if s.Spec == "malformed" {
+			panic("malformed")
+		}
 		w.starts[s.Run.Task] = append(w.starts[s.Run.Task], time.Now())
 		w.specs[s.Spec]++
 	}
@@ -306,3 +309,16 @@
 		}
 	})
 }
+
+// Guards against one order that ends the process of its relay: another relay would get the same order after that.
+func TestPanicInRelay(t *testing.T) {
+	testRelay(t, func(s *setup) {
+		bad := start(1)
+		bad.Command = engine.Start{Worker: "w", Address: "w:1", Run: run(1), Spec: "malformed"}
+		s.pool.Send("r", []relay.Order{bad, start(2)})
+		pass(time.Second)
+		if got := s.outcomes(); got[engine.RelayNoReply] != 1 || got[engine.Applied] != 1 {
+			t.Errorf("outcomes: %v", got)
+		}
+	})
+}
--- a/internal/serve/relay/server.go
+++ b/internal/serve/relay/server.go
@@ -136,10 +136,10 @@
 		return Result{Order: o.Order, Outcome: engine.Withheld}
 	}
 	end := time.Now().Add(o.wait)
-	r := Run(ctx, s.workers, o.Order, fence)
+	r := Run(ctx, s.workers, o.Order, fence, s.log)
 	for r.Outcome == engine.Applied && o.wait > 0 && len(r.Reply.Ended) == 0 && time.Now().Before(end) &&
 		c.mayActUntil(time.Duration(c.until.Load())) {
-		next := Run(ctx, s.workers, o.Order, fence)
+		next := Run(ctx, s.workers, o.Order, fence, s.log)
 		restarted := next.Reply.Incarnation != r.Reply.Incarnation
 		r = next
 		if restarted {
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -19,6 +19,7 @@
 	peer.Handle(s, peer.MethodSync, func(_ context.Context, q peer.SyncRequest) (peer.SyncReply, error) {
 		return peer.SyncReply{From: "b.1", Revision: q.Revision + 1}, nil
 	})
+	peer.Handle(s, peer.MethodPush, func(context.Context, peer.PushRequest) (peer.PushReply, error) { panic("malformed") })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ctx, l) }()
@@ -56,3 +57,18 @@
 		})
 	}
 }
+
+// Guards against one message that ends the whole process, because the handler of its call panics.
+func TestPanicInHandler(t *testing.T) {
+	address := serve(t, "secret")
+	client := peer.NewClient("secret")
+	defer func() { _ = client.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if _, err := peer.Call(ctx, client, address, peer.MethodPush, peer.PushRequest{From: "a.1"}); err == nil {
+		t.Error("no error from a handler that panics")
+	}
+	if a, err := peer.Call(ctx, client, address, peer.MethodSync, peer.SyncRequest{From: "a.1", Revision: 6}); err != nil || a.Revision != 7 {
+		t.Errorf("the next call: %+v, %v", a, err)
+	}
+}
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 
+	"go.uber.org/zap"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmetadata"
 	"storj.io/drpc/drpcserver"
@@ -18,12 +19,23 @@
 // Server answers the calls of peers.
 type Server struct {
 	token    string
+	log      *zap.Logger
 	handlers map[string]func(drpc.Stream) error
 }
 
+// ServerOption sets an option of a Server.
+type ServerOption func(*Server)
+
+// WithLog sets the log of handlers that panic.
+func WithLog(l *zap.Logger) ServerOption { return func(s *Server) { s.log = l } }
+
 // NewServer returns a server that requires a token with every call.
-func NewServer(token string) *Server {
-	return &Server{token: token, handlers: map[string]func(drpc.Stream) error{}}
+func NewServer(token string, options ...ServerOption) *Server {
+	s := &Server{token: token, log: zap.NewNop(), handlers: map[string]func(drpc.Stream) error{}}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Handle registers the handler of a method; it must be called before Serve.
@@ -47,8 +59,18 @@
 	return drpcserver.NewWithOptions(s, options).Serve(ctx, l)
 }
 
-// HandleRPC implements drpc.Handler.
-func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+// errPanic is returned to the peer whose call made a handler panic.
+var errPanic = errors.New("peer: internal error")
+
+// HandleRPC implements drpc.Handler. A handler that panics fails its call only.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("peer: handler panicked, answering with an internal error", zap.String("method", rpc),
+				zap.Any("panic", p), zap.Stack("stack"))
+			err = errPanic
+		}
+	}()
 	if !s.isAuthorized(stream.Context()) {
 		return ErrWrongToken
 	}
