router: A request that was never sent has not run, however short its deadline

Cause: a caller's deadline that passed within 250 ms, before any instance could take the request, was answered "unknown", so that the caller had to ask what had become of work that nobody has.

Change: without an attempt that may have reached a leader the answer is "not run", with a Retry-After. New cases of router.TestResults fail without it.

--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -265,7 +265,7 @@
 			lastErr = err
 		}
 		var none A
-		if !unknown && time.Since(began) >= leaderWaitTimeout {
+		if !unknown && (ctx.Err() != nil || time.Since(began) >= leaderWaitTimeout) {
 			r.log.Info("router: request refused, no leader reached in time", zap.Any("request", describe(q)),
 				zap.Error(lastErr))
 			return none, false, reject.New(reject.KindStale, reject.WorkNotRun, "no instance can take this now").
--- a/internal/serve/router/router_test.go
+++ b/internal/serve/router/router_test.go
@@ -43,6 +43,15 @@
 func TestResults(t *testing.T) {
 	datadriven.RunTest(t, "testdata/verdicts.txt", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
+		var deadline time.Duration
+		if d.HasArg("deadline") {
+			var text string
+			d.ScanArgs(t, "deadline", &text)
+			var err error
+			if deadline, err = time.ParseDuration(text); err != nil {
+				t.Fatal(err)
+			}
+		}
 		for _, line := range strings.Split(d.Input, "\n") {
 			var l fakeLeader
 			for _, result := range strings.Fields(line) {
@@ -50,7 +59,7 @@
 			}
 			synctest.Test(t, func(t *testing.T) {
 				r := New("e1", nil, &l, nil, zap.NewNop())
-				ctx, cancel := RequestContext(t.Context(), 0)
+				ctx, cancel := RequestContext(t.Context(), deadline)
 				defer cancel()
 				began := time.Now()
 				var err error
