leader: A machine call that is answered as fenced ends leadership

Cause: such an answer shows that a later leader has acted, as a worker's does, but it counted as a refusal for this machine only: the former leader went on to the next machine, and the one who acts for real found machines that it had not sent away.

Change: leadership is lost.

--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -99,9 +99,9 @@
 	return ""
 }
 
-// handleFenced marks leadership as lost, since a worker has seen the fencing token of a later leader.
-func (s *session) handleFenced() {
-	s.log.Warn("leader: a worker has seen a later fencing token, leadership is lost",
+// handleFenced marks leadership as lost, since a worker or the machine service has seen the fencing token of a later leader.
+func (s *session) handleFenced(by string) {
+	s.log.Warn("leader: a later fencing token has been seen, leadership is lost", zap.String("by", by),
 		zap.Int64("fence", s.leadership.FencingToken()))
 	s.leadership.MarkLost()
 	wake(s.commitWake)
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -320,7 +320,10 @@
 		op.retryAt = time.Now().Add(busyBackoff)
 		op.uncertain = op.uncertain || result == Unknown
 		s.scheduler.Close(work.WorkerID(op.worker), op.uncertain)
-	case Refused, Fenced:
+	case Fenced:
+		s.handleFenced("the machine service")
+		m.releaseOperation(op)
+	case Refused:
 		if op.pool != "" {
 			m.refusedPools[op.machine] = append(m.refusedPools[op.machine], op.pool)
 		}
--- a/internal/serve/leader/orders.go
+++ b/internal/serve/leader/orders.go
@@ -120,7 +120,7 @@
 	s.mu.Unlock()
 	s.observeResults(results)
 	if fenced {
-		s.handleFenced()
+		s.handleFenced("a worker")
 	}
 	if changed || held {
 		s.wakeLoops()
--- a/internal/serve/leader/wave_test.go
+++ b/internal/serve/leader/wave_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -243,3 +244,35 @@
 		}
 	})
 }
+
+// fencedMachines decline each maintenance, because a later leader has acted on the machine.
+type fencedMachines struct {
+	idleMachines
+	calls atomic.Int64
+}
+
+// Maintain implements leader.Machines.
+func (m *fencedMachines) Maintain(context.Context, string, int64, int64) leader.Result {
+	m.calls.Add(1)
+	return leader.Fenced
+}
+
+// Guards against a former leader that goes on with one machine after the other, although the machine service has told it that
+// a later leader acts.
+func TestFencedMachineCallEndsLeadership(t *testing.T) {
+	machines := &fencedMachines{idleMachines: idleMachines{count: 30, maintained: map[string]int{}}}
+	testClusterOf(t, 1, func(o *leader.Options) {
+		o.Machines, o.Moves = machines, leader.MoveOptions{Maintenance: time.Second, Shift: shift.Default()}
+	}, func(c *cluster) {
+		former := c.leader().elector.Load()
+		record, _ := former.Leader()
+		c.rules.AddWave(rules.Wave{Number: 1, Machines: []string{machines.name(0), machines.name(1)}, Cap: 1, Within: time.Minute})
+		for machines.calls.Load() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		if now, ok := former.Leader(); !ok || now.Term == record.Term {
+			t.Errorf("after a fenced call the leader of term %d still leads: %+v", record.Term, now)
+		}
+	})
+}
