leader: Store the beginning of a wave at once

Cause: the row of a wave was written with its first machine; a leader that took over before that counted the wave's time from its own beginning and went at too slow a pace.

Change: the row is written when the wave is first seen. TestBeginningOfWaveIsStored fails without it.

--- a/internal/serve/leader/wave_test.go
+++ b/internal/serve/leader/wave_test.go
@@ -276,3 +276,26 @@
 		}
 	})
 }
+
+// Guards against a wave whose time begins anew with each leader, because its beginning is stored only with its first
+// machine: the wave goes at too slow a pace and ends late.
+func TestBeginningOfWaveIsStored(t *testing.T) {
+	machines := &idleMachines{count: 1, maintained: map[string]int{}}
+	testClusterOf(t, 1, func(o *leader.Options) {
+		o.Machines, o.Moves = machines, leader.MoveOptions{Maintenance: time.Second, Shift: shift.Default()}
+	}, func(c *cluster) {
+		c.submit(context.Background(), work.Job{ID: "00000000000000a1", Queue: "q", Customer: "c",
+			Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 10}, LongRunning: true}}})
+		time.Sleep(time.Second)
+		// The machine runs a long-running task that has nowhere to go.
+		for i := 1; i < 4; i++ {
+			c.fakeWorkers.Crash(work.WorkerID(fmt.Sprintf("w%d", i)))
+		}
+		c.rules.AddWave(rules.Wave{Number: 1, Machines: []string{"w0"}, Cap: 1, Within: time.Hour})
+		time.Sleep(2 * time.Second)
+		rows, err := c.store.Link().Scan(t.Context(), "wave/", "", 10)
+		if err != nil || len(rows) != 1 {
+			t.Errorf("%d rows of waves before the first machine is taken, %v", len(rows), err)
+		}
+	})
+}
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -108,6 +108,8 @@
 		if !ok {
 			state = &waveState{Tracker: waves.NewTracker(), FirstSeen: time.Now().UnixMilli()}
 			m.waves[number] = state
+			// The next leader must know since when the wave is due, also if no machine has been taken yet.
+			m.session.storeProgress(number)
 		}
 		if state.Completed {
 			continue
