router, leader: The leader checks callers' keys while an instance's rules may be out of date

Cause: an instance that is cut off from the store answered 401 to callers whose key was granted meanwhile, and 404 for new queues; such answers are final, so that the callers did not try another instance. And it went on accepting withdrawn keys for as long as it reached the leader, with no bound.

Change: rules have an age. From 2 s on the key goes with the request to the leader, which finds the queue and the customer in its own rules and answers that the key is unknown; without a leader, and for an unknown queue, the answer is 503, not run. A leader of an earlier build gets a job without a queue and does not accept it.

Not bounded: a leader whose feed alone is broken.

--- a/internal/serve/leader/config_test.go
+++ b/internal/serve/leader/config_test.go
@@ -1,11 +1,13 @@
 package leader_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -40,3 +42,43 @@
 		}
 	})
 }
+
+// Guards against a leader that accepts a job on behalf of an instance with outdated rules although the caller's key was
+// withdrawn, or for another customer than the key's.
+func TestLeaderChecksAccess(t *testing.T) {
+	testClusterOf(t, 1, func(*leader.Options) {}, func(c *cluster) {
+		c.rules.Configure(work.NewConfig(work.Config{Version: 2,
+			Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}, {Name: "o", Pool: "p", Open: true}},
+			Customers: map[string]work.Customer{"c": {Name: "c", Keys: []string{"k"}}}}))
+		s := c.leader().service.Load()
+		submit := func(id work.JobID, version int64, a peer.Access) peer.Result {
+			return s.Submit(context.Background(), peer.SubmitRequest{Version: version, Access: &a, Job: work.Job{ID: id,
+				Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 10}}}}}).Result
+		}
+		for _, x := range []struct {
+			name    string
+			version int64
+			access  peer.Access
+			want    peer.Result
+		}{
+			{"withdrawn key", 1, peer.Access{Queue: "q", Key: "withdrawn"}, peer.WrongKey},
+			{"no such queue", 2, peer.Access{Queue: "gone", Key: "k"}, peer.NoQueue},
+			{"a newer config elsewhere", 3, peer.Access{Queue: "q", Key: "withdrawn"}, peer.NotLeader},
+			{"valid key", 1, peer.Access{Queue: "q", Key: "k"}, peer.Accepted},
+			{"open queue", 1, peer.Access{Queue: "o"}, peer.Accepted},
+		} {
+			if got := submit("00000000000000a1", x.version, x.access); got != x.want {
+				t.Errorf("%s: submission answered %q, want %q", x.name, got, x.want)
+			}
+		}
+		withdrawn := &peer.Access{Queue: "q", Key: "withdrawn"}
+		for _, cancel := range []bool{false, true} {
+			if got := s.Job(context.Background(), peer.JobRequest{ID: "00000000000000a1", Cancel: cancel, Access: withdrawn}); got.Result != peer.WrongKey {
+				t.Errorf("withdrawn key, cancel %t: answered %q", cancel, got.Result)
+			}
+		}
+		if got := s.Waiting(peer.WaitingRequest{Queue: "q", Access: withdrawn}); got.Result != peer.WrongKey {
+			t.Errorf("withdrawn key: number of waiting jobs answered %q", got.Result)
+		}
+	})
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -154,6 +154,13 @@
 	if ss == nil {
 		return peer.JobReply{Result: peer.NotLeader}
 	}
+	if q.Access != nil {
+		customer, result := s.checkAccess(*q.Access, q.Version)
+		if result != peer.Accepted {
+			return peer.JobReply{Result: result}
+		}
+		q.Job.Queue, q.Job.Customer = q.Access.Queue, customer
+	}
 	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply { return ss.submit(ctx, q) })
 }
 
@@ -164,6 +171,11 @@
 	if ss == nil {
 		return peer.JobReply{Result: peer.NotLeader}
 	}
+	if q.Access != nil {
+		if _, result := s.checkAccess(*q.Access, 0); result != peer.Accepted {
+			return peer.JobReply{Result: result}
+		}
+	}
 	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply {
 		if q.Cancel {
 			return ss.cancel(ctx, q.ID)
@@ -172,16 +184,41 @@
 	})
 }
 
+// checkAccess returns the customer of a caller's key, "" on an open queue, or why the request is not accepted. version is
+// that of the calling instance's config.
+func (s *Service) checkAccess(a peer.Access, version int64) (customer string, result peer.Result) {
+	current, _ := s.Rules.Current()
+	if current.Config == nil || current.Config.Version < version {
+		return "", peer.NotLeader
+	}
+	queue, ok := current.Config.Queue(a.Queue)
+	if !ok {
+		return "", peer.NoQueue
+	}
+	if queue.Open {
+		return "", peer.Accepted
+	}
+	if customer, ok = current.Config.CustomerOf(a.Key); !ok {
+		return "", peer.WrongKey
+	}
+	return customer, peer.Accepted
+}
+
 // Waiting returns the number of stored, unfinished jobs of a queue that have started no task.
-func (s *Service) Waiting(queue string) peer.WaitingReply {
+func (s *Service) Waiting(q peer.WaitingRequest) peer.WaitingReply {
 	ss := s.current()
 	if ss == nil || !ss.hasAuthority() {
 		return peer.WaitingReply{Result: peer.NotLeader}
 	}
+	if q.Access != nil {
+		if _, result := s.checkAccess(*q.Access, 0); result != peer.Accepted {
+			return peer.WaitingReply{Result: result}
+		}
+	}
 	return guard(ss, peer.WaitingReply{Result: peer.NotLeader}, func() peer.WaitingReply {
 		ss.mu.Lock()
 		defer ss.mu.Unlock()
-		return peer.WaitingReply{Result: peer.Accepted, Count: ss.scheduler.Waiting(queue)}
+		return peer.WaitingReply{Result: peer.Accepted, Count: ss.scheduler.Waiting(q.Queue)}
 	})
 }
 
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -30,6 +30,9 @@
 	takeoverDuration = 2 * time.Second
 	// DefaultRequestTimeout bounds a request if its queue sets no time-out; a caller's deadline may only shorten it.
 	DefaultRequestTimeout = 3 * time.Second
+	// rulesMaxAge is the age of the rules from which the leader checks the callers' keys. A feed confirms them each second
+	// while the store answers.
+	rulesMaxAge = 2 * time.Second
 	// transferMargin is the part of a caller's deadline that is reserved for the transfer of the reply.
 	transferMargin = 100 * time.Millisecond
 )
@@ -39,7 +42,7 @@
 	IsLeader() bool
 	Submit(ctx context.Context, q peer.SubmitRequest) peer.JobReply
 	Job(ctx context.Context, q peer.JobRequest) peer.JobReply
-	Waiting(queue string) peer.WaitingReply
+	Waiting(q peer.WaitingRequest) peer.WaitingReply
 	HandleHeartbeat(q peer.HeartbeatRequest) peer.HeartbeatReply
 }
 
@@ -93,7 +96,7 @@
 		return r.local.Job(ctx, q), nil
 	})
 	peer.Handle(s, peer.MethodWaiting, func(_ context.Context, q peer.WaitingRequest) (peer.WaitingReply, error) {
-		return r.local.Waiting(q.Queue), nil
+		return r.local.Waiting(q), nil
 	})
 	peer.Handle(s, peer.MethodHeartbeat, func(_ context.Context, q peer.HeartbeatRequest) (peer.HeartbeatReply, error) {
 		reply := r.local.HandleHeartbeat(q)
@@ -153,9 +156,13 @@
 	Subpath string
 	// Version is that of the config with which the request was checked.
 	Version int64
+	// Access is set if the leader is to check the caller's key, because the rules of this instance may be out of date;
+	// Customer is not known then.
+	Access *peer.Access
 }
 
-// Admit finds the queue of a host and path and checks the caller's key, unless the queue is open.
+// Admit finds the queue of a host and path and checks the caller's key, unless the queue is open. While the rules may be
+// out of date it leaves the key to the leader, and rejects a request without a queue for another instance to decide.
 func (r *Router) Admit(host, path, key string) (Admission, error) {
 	current, _ := r.rules.Current()
 	if current.Config == nil {
@@ -164,7 +171,11 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
+	outdated := r.rules.Age() > rulesMaxAge
 	q, ok := current.Config.Route(host, path)
+	if !ok && outdated {
+		return Admission{}, reject.New(reject.KindStale, reject.WorkNotRun, "the config may be out of date")
+	}
 	if !ok {
 		return Admission{}, reject.New(reject.KindQueue, reject.WorkNotRun, "no such queue")
 	}
@@ -172,6 +183,10 @@
 	if q.Open {
 		return a, nil
 	}
+	if outdated {
+		a.Access = &peer.Access{Queue: q.Name, Key: key}
+		return a, nil
+	}
 	if a.Customer, ok = current.Config.CustomerOf(key); !ok {
 		return Admission{}, reject.New(reject.KindKey, reject.WorkNotRun, "unknown key")
 	}
@@ -186,8 +201,11 @@
 
 // Submit submits a job to the leader and returns when it is stored.
 func (r *Router) Submit(ctx context.Context, a Admission, j work.Job) error {
-	reply, unknown, err := forwardWithRetry(ctx, r, peer.MethodSubmit, peer.SubmitRequest{Job: j, Version: a.Version},
-		r.local.Submit)
+	if a.Access != nil {
+		j.Queue, j.Customer = "", ""
+	}
+	reply, unknown, err := forwardWithRetry(ctx, r, peer.MethodSubmit,
+		peer.SubmitRequest{Job: j, Version: a.Version, Access: a.Access}, r.local.Submit)
 	switch {
 	case err != nil:
 		return err
@@ -199,15 +217,31 @@
 			zap.String("job", string(j.ID)), zap.String("verdict", string(reply.Result)))
 	case reply.Result == peer.Impossible:
 		return reject.New(reject.KindImpossible, reject.WorkNotRun, "the job can never run")
-	case reply.Result == peer.NoQueue:
-		return reject.New(reject.KindQueue, reject.WorkNotRun, "no such queue")
+	default:
+		if err := rejectionOf(reply.Result); err != nil {
+			return err
+		}
 	}
 	return reject.New(reject.KindUnconfirmed, reject.WorkUnknown, "not known whether the job is stored")
 }
 
+// rejectionOf returns the rejection of a request whose queue or key the leader does not accept, else nil.
+func rejectionOf(result peer.Result) error {
+	switch result {
+	case peer.NoQueue:
+		return reject.New(reject.KindQueue, reject.WorkNotRun, "no such queue")
+	case peer.WrongKey:
+		return reject.New(reject.KindKey, reject.WorkNotRun, "unknown key")
+	}
+	return nil
+}
+
 // State returns the state of a job.
-func (r *Router) State(ctx context.Context, id work.JobID) (work.State, error) {
-	reply, _, err := forwardWithRetry(ctx, r, peer.MethodJob, peer.JobRequest{ID: id}, r.local.Job)
+func (r *Router) State(ctx context.Context, a Admission, id work.JobID) (work.State, error) {
+	reply, _, err := forwardWithRetry(ctx, r, peer.MethodJob, peer.JobRequest{ID: id, Access: a.Access}, r.local.Job)
+	if err == nil {
+		err = rejectionOf(reply.Result)
+	}
 	if err != nil {
 		return "", err
 	}
@@ -218,8 +252,12 @@
 }
 
 // Cancel cancels a job and returns when that is stored.
-func (r *Router) Cancel(ctx context.Context, id work.JobID) error {
-	reply, _, err := forwardWithRetry(ctx, r, peer.MethodJob, peer.JobRequest{ID: id, Cancel: true}, r.local.Job)
+func (r *Router) Cancel(ctx context.Context, a Admission, id work.JobID) error {
+	reply, _, err := forwardWithRetry(ctx, r, peer.MethodJob, peer.JobRequest{ID: id, Cancel: true, Access: a.Access},
+		r.local.Job)
+	if err == nil {
+		err = rejectionOf(reply.Result)
+	}
 	if err != nil {
 		return err
 	}
@@ -234,8 +272,11 @@
 
 // Waiting returns the number of stored, unfinished jobs of the admitted queue that have started no task.
 func (r *Router) Waiting(ctx context.Context, a Admission) (int, error) {
-	reply, _, err := forwardWithRetry(ctx, r, peer.MethodWaiting, peer.WaitingRequest{Queue: a.Queue.Name},
-		func(_ context.Context, q peer.WaitingRequest) peer.WaitingReply { return r.local.Waiting(q.Queue) })
+	reply, _, err := forwardWithRetry(ctx, r, peer.MethodWaiting, peer.WaitingRequest{Queue: a.Queue.Name, Access: a.Access},
+		func(_ context.Context, q peer.WaitingRequest) peer.WaitingReply { return r.local.Waiting(q) })
+	if err == nil {
+		err = rejectionOf(reply.Result)
+	}
 	return reply.Count, err
 }
 
--- a/internal/serve/router/router_test.go
+++ b/internal/serve/router/router_test.go
@@ -33,7 +33,7 @@
 func (l *fakeLeader) IsLeader() bool                                           { return true }
 func (l *fakeLeader) Submit(context.Context, peer.SubmitRequest) peer.JobReply { return l.next() }
 func (l *fakeLeader) Job(context.Context, peer.JobRequest) peer.JobReply       { return l.next() }
-func (l *fakeLeader) Waiting(string) peer.WaitingReply                         { return peer.WaitingReply{} }
+func (l *fakeLeader) Waiting(peer.WaitingRequest) peer.WaitingReply            { return peer.WaitingReply{} }
 func (l *fakeLeader) HandleHeartbeat(peer.HeartbeatRequest) peer.HeartbeatReply {
 	return peer.HeartbeatReply{}
 }
@@ -67,9 +67,9 @@
 				case "submit":
 					err = r.Submit(ctx, Admission{}, work.Job{ID: "a"})
 				case "cancel":
-					err = r.Cancel(ctx, "a")
+					err = r.Cancel(ctx, Admission{}, "a")
 				case "state":
-					_, err = r.State(ctx, "a")
+					_, err = r.State(ctx, Admission{}, "a")
 				}
 				fmt.Fprintf(&out, "%s: %s after %v\n", line, outcome(err), time.Since(began))
 			})
--- a/internal/state/rules/rules.go
+++ b/internal/state/rules/rules.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	rules   Rules
 	changed chan struct{}
+	// confirmedAt is the latest time of which all changes are known.
+	confirmedAt time.Time
 }
 
 // NewCache returns an empty cache.
@@ -47,6 +49,22 @@
 	return c.rules, c.changed
 }
 
+// Confirm records that all changes before a point in time are known.
+func (c *Cache) Confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+}
+
+// Age returns for how long the rules may have been out of date.
+func (c *Cache) Age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.confirmedAt)
+}
+
 // Configure replaces the config unless the current one has the same or a newer version, and reports whether it did.
 func (c *Cache) Configure(config *work.Config) bool {
 	return c.change(func(r Rules) (Rules, bool) {
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -30,6 +30,8 @@
 	Impossible Result = "never"
 	// NoQueue: no such queue is in force; the job was not accepted.
 	NoQueue Result = "queue"
+	// WrongKey: no customer has the caller's key; the job was not accepted.
+	WrongKey Result = "key"
 	// NotLeader: the called instance is not the leader, or a later leader may know the job, or its config is too old to
 	// decide about the queue. It has done nothing.
 	NotLeader Result = "elsewhere"
@@ -37,17 +39,26 @@
 	Unknown Result = "open"
 )
 
+// Access asks the leader to find a job's queue and to check the caller's key, because the rules of the calling instance may
+// be out of date. The job then has neither a queue nor a customer, so that a leader of an earlier build does not accept it.
+type Access struct {
+	Queue string `json:"queue"`
+	Key   string `json:"key"`
+}
+
 // SubmitRequest submits a job to the leader.
 type SubmitRequest struct {
 	Job work.Job `json:"job"`
 	// Version is the version of the config under which the calling instance admitted the job.
-	Version int64 `json:"version"`
+	Version int64   `json:"version"`
+	Access  *Access `json:"access,omitempty"`
 }
 
 // JobRequest requests the state of a job, or its cancellation.
 type JobRequest struct {
 	ID     work.JobID `json:"id"`
 	Cancel bool       `json:"cancel,omitempty"`
+	Access *Access    `json:"access,omitempty"`
 }
 
 // JobReply is the result; State and Queue are set only if a JobRequest was accepted.
@@ -59,7 +70,8 @@
 
 // WaitingRequest requests the number of waiting jobs of a queue.
 type WaitingRequest struct {
-	Queue string `json:"queue"`
+	Queue  string  `json:"queue"`
+	Access *Access `json:"access,omitempty"`
 }
 
 // WaitingReply is the number of stored, unfinished jobs of the queue that have started no task, if Result is Accepted.
