router: An instance that is cut off rejects requests at once

Cause: an instance that reaches neither the store nor the leader accepted callers' requests and held them until shortly before their deadlines (2.9 s), since a call over an open connection may have reached the leader; the caller had no time left for another instance.

Change: such an instance knows that it is isolated, from the age of its rules and of the leader's last reply, or as the leader from the end of its authority. It sends nothing and answers "not run" at once; a request in flight whose outcome is unknown is answered so when it becomes isolated. It is not ready for the load balancer; if all are isolated, that uses all.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -230,10 +230,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// isReady reports whether this instance takes callers' requests.
+// isReady reports whether this instance takes callers' requests. If all are isolated, the load balancer uses all.
 func (h *Host) isReady() bool {
 	r := h.router.Load()
-	return !h.shuttingDown.Load() && r != nil && r.Config() != nil
+	return !h.shuttingDown.Load() && r != nil && r.Config() != nil && !r.Isolated()
 }
 
 // shutDown releases leadership, waits until the load balancer notices and answers the requests in flight, all within
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -148,6 +148,12 @@
 // IsLeader reports whether this process leads and has loaded the stored state.
 func (s *Service) IsLeader() bool { return s.current() != nil }
 
+// HasAuthority reports whether this process leads and may still send commands.
+func (s *Service) HasAuthority() bool {
+	ss := s.current()
+	return ss != nil && ss.hasAuthority()
+}
+
 // Submit accepts a job and returns when it is stored, or with peer.Unknown if the context or the session ends first.
 func (s *Service) Submit(ctx context.Context, q peer.SubmitRequest) peer.JobReply {
 	ss := s.current()
--- a/internal/serve/router/heartbeat.go
+++ b/internal/serve/router/heartbeat.go
@@ -146,3 +146,18 @@
 	return r.lastReply.IsLeader && r.lastReply.Term == term && r.lastReply.SinceConfirmed <= confirmedMaxAge &&
 		r.lastReply.StoreRefusedFor < minRefusedDuration && r.isRecent(r.repliedAt)
 }
+
+// Isolated reports whether this instance has reached neither the store nor the leader for a while, so that others may serve
+// callers whom it can't serve.
+func (r *Router) Isolated() bool {
+	if r.rules == nil || r.rules.Age() <= rulesMaxAge || r.local.HasAuthority() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.repliedAt
+	if last.Before(r.startedAt) {
+		last = r.startedAt
+	}
+	return !r.isRecent(last)
+}
--- a/internal/serve/router/heartbeat_test.go
+++ b/internal/serve/router/heartbeat_test.go
@@ -32,7 +32,8 @@
 // notLeader is the leader service of a process that does not lead.
 type notLeader struct{ fakeLeader }
 
-func (*notLeader) IsLeader() bool { return false }
+func (*notLeader) IsLeader() bool     { return false }
+func (*notLeader) HasAuthority() bool { return false }
 
 // heartbeatServer answers heartbeats with a reply, and tells when they came.
 type heartbeatServer struct {
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -40,6 +40,8 @@
 // LocalLeader is the leader service of this process; it answers peer.NotLeader while this process is not the leader.
 type LocalLeader interface {
 	IsLeader() bool
+	// HasAuthority reports whether this process leads and may still act, as far as the store or all peers confirm it.
+	HasAuthority() bool
 	Submit(ctx context.Context, q peer.SubmitRequest) peer.JobReply
 	Job(ctx context.Context, q peer.JobRequest) peer.JobReply
 	Waiting(q peer.WaitingRequest) peer.WaitingReply
@@ -66,6 +68,8 @@
 	// candidacy is what heartbeats report of this instance.
 	candidacy Candidacy
 
+	startedAt time.Time
+
 	mu sync.Mutex
 	// lastReply is the last reply to a heartbeat, repliedAt when it came; failed heartbeats leave both unchanged.
 	lastReply peer.HeartbeatReply
@@ -77,7 +81,7 @@
 
 // New returns a router of the entry instance with a name.
 func New(name string, cache *rules.Cache, leader LocalLeader, peers *peer.Client, log *zap.Logger) *Router {
-	return &Router{name: name, rules: cache, local: leader, peers: peers, log: log}
+	return &Router{name: name, rules: cache, local: leader, peers: peers, log: log, startedAt: time.Now()}
 }
 
 // SetLeaderTracker sets the source of the current leader; it must be called before Run.
@@ -288,13 +292,22 @@
 
 // forwardWithRetry forwards a request to the leader. A request that has not reached a leader within leaderWaitTimeout
 // is rejected as not run; one that may have reached a leader is retried, which is safe, until shortly before the
-// context's deadline. It also reports whether an attempt before the answered one had an unknown outcome.
+// context's deadline. An isolated instance does neither, so that the caller can try another one. It also reports whether an attempt before the answered one had an unknown outcome.
 func forwardWithRetry[Q peer.Message, A leaderReply](ctx context.Context, r *Router, m peer.Method[Q, A], q Q,
 	local func(context.Context, Q) A) (A, bool, error) {
 	began := time.Now()
 	unknown := false
 	var lastErr error
+	var none A
 	for {
+		if r.Isolated() {
+			r.log.Info("router: request not forwarded, neither the leader nor the store can be reached",
+				zap.Any("request", describe(q)), zap.Bool("unknown", unknown), zap.Duration("took", time.Since(began)))
+			if unknown {
+				return none, true, reject.New(reject.KindUnconfirmed, reject.WorkUnknown, "no answer in time")
+			}
+			return none, false, reject.New(reject.KindStale, reject.WorkNotRun, "this instance is cut off")
+		}
 		reply, maybeReached, err := forwardOnce(ctx, r, m, q, local)
 		unknown = unknown || maybeReached
 		switch {
@@ -305,7 +318,6 @@
 		case err != nil:
 			lastErr = err
 		}
-		var none A
 		if !unknown && (ctx.Err() != nil || time.Since(began) >= leaderWaitTimeout) {
 			r.log.Info("router: request refused, no leader reached in time", zap.Any("request", describe(q)),
 				zap.Error(lastErr))
--- a/internal/serve/router/router_test.go
+++ b/internal/serve/router/router_test.go
@@ -31,6 +31,7 @@
 }
 
 func (l *fakeLeader) IsLeader() bool                                           { return true }
+func (l *fakeLeader) HasAuthority() bool                                       { return true }
 func (l *fakeLeader) Submit(context.Context, peer.SubmitRequest) peer.JobReply { return l.next() }
 func (l *fakeLeader) Job(context.Context, peer.JobRequest) peer.JobReply       { return l.next() }
 func (l *fakeLeader) Waiting(peer.WaitingRequest) peer.WaitingReply            { return peer.WaitingReply{} }
