--- a/internal/serve/router/isolated_test.go
+++ b/internal/serve/router/isolated_test.go
@@ -43,7 +43,7 @@
 		}
 		time.Sleep(time.Second)
 		time.AfterFunc(1500*time.Millisecond, func() { l.authority.Store(false) })
-		// The cut has begun, and is noticed when the rules are 2 s old and authority has ended.
+		// The cut has begun, and is noticed when the rules are 1.5 s old and authority has ended.
 		if got, took := submit(); got != "unconfirmed, work unknown" || took > 1700*time.Millisecond {
 			t.Errorf("a request in flight: %s after %v", got, took)
 		}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -32,7 +32,10 @@
 	DefaultRequestTimeout = 3 * time.Second
 	// rulesMaxAge is the age of the rules from which the leader checks the callers' keys. A feed confirms them each second
 	// while the store answers.
-	rulesMaxAge = 2 * time.Second
+	rulesMaxAge = 1500 * time.Millisecond
+	// isolatedRetryAfter is when a caller of an isolated instance may come back: the load balancer looks for another one
+	// within about two seconds, and callers have few retries.
+	isolatedRetryAfter = time.Second
 	// transferMargin is the part of a caller's deadline that is reserved for the transfer of the reply.
 	transferMargin = 100 * time.Millisecond
 )
@@ -306,7 +309,8 @@
 			if unknown {
 				return none, true, reject.New(reject.KindUnconfirmed, reject.WorkUnknown, "no answer in time")
 			}
-			return none, false, reject.New(reject.KindStale, reject.WorkNotRun, "this instance is cut off")
+			return none, false, reject.New(reject.KindStale, reject.WorkNotRun, "this instance is cut off").
+				WithRetryAfter(isolatedRetryAfter)
 		}
 		reply, maybeReached, err := forwardOnce(ctx, r, m, q, local)
 		unknown = unknown || maybeReached
