--- a/internal/serve/leader/fuzz_test.go
+++ b/internal/serve/leader/fuzz_test.go
@@ -36,4 +36,6 @@
 type fixedClock struct{}
 
 // Now implements table.Clock.
-func (fixedClock) Now() (earliest, latest time.Duration, ok bool) { return time.Minute, time.Minute, true }
+func (fixedClock) Now() (earliest, latest time.Duration, ok bool) {
+	return time.Minute, time.Minute, true
+}
