--- a/internal/serve/router/access_test.go
+++ b/internal/serve/router/access_test.go
@@ -39,6 +39,9 @@
 			Customers: map[string]work.Customer{"c": {Name: "c", Keys: []string{"known"}}}}))
 		cache.Confirm(time.Now())
 		l := &keyLeader{result: peer.Accepted}
+		if _, err := New("e1", rules.NewCache(), l, nil, zap.NewNop()).Admit("h", "/q/a", "known"); err == nil {
+			t.Error("a process that has read no config since its start accepted a key")
+		}
 		r := New("e1", cache, l, nil, zap.NewNop())
 		kind := func(path, key string) reject.Kind {
 			a, err := r.Admit("h", path, key)
