peer: A reply that no customer has the key is valid

Cause: the check of a reply's result did not know WrongKey, so that the instance that had asked took it for a damaged message, asked again until the deadline, and answered 504 instead of 401.

--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -209,7 +209,7 @@
 
 func (r Result) check() error {
 	switch r {
-	case Accepted, NotFound, Impossible, NoQueue, NotLeader, Unknown:
+	case Accepted, NotFound, Impossible, NoQueue, WrongKey, NotLeader, Unknown:
 		return nil
 	}
 	return errors.Join(ErrInvalidMessage, errors.New("unknown result"))
