router, leader: The leader also finds the queue for instances with outdated rules

Change: such an instance leaves the queue of every request to the leader, with host and path; a path that belongs to another queue now is left to an instance that knows that queue.

--- a/internal/serve/leader/config_test.go
+++ b/internal/serve/leader/config_test.go
@@ -48,30 +48,32 @@
 func TestLeaderChecksAccess(t *testing.T) {
 	testClusterOf(t, 1, func(*leader.Options) {}, func(c *cluster) {
 		c.rules.Configure(work.NewConfig(work.Config{Version: 2,
-			Queues:    []work.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}, {Name: "o", Pool: "p", Open: true}},
+			Queues: []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second},
+				{Name: "o", Host: "h", Prefix: "/o/", Pool: "p", Open: true}, {Name: "moved", Host: "h", Prefix: "/new/", Pool: "p"}},
 			Customers: map[string]work.Customer{"c": {Name: "c", Keys: []string{"k"}}}}))
 		s := c.leader().service.Load()
-		submit := func(id work.JobID, version int64, a peer.Access) peer.Result {
-			return s.Submit(context.Background(), peer.SubmitRequest{Version: version, Access: &a, Job: work.Job{ID: id,
+		submit := func(id work.JobID, a peer.Access) peer.Result {
+			return s.Submit(context.Background(), peer.SubmitRequest{Version: a.Version, Access: &a, Job: work.Job{ID: id,
 				Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 10}}}}}).Result
 		}
 		for _, x := range []struct {
-			name    string
-			version int64
-			access  peer.Access
-			want    peer.Result
+			name   string
+			access peer.Access
+			want   peer.Result
 		}{
-			{"withdrawn key", 1, peer.Access{Queue: "q", Key: "withdrawn"}, peer.WrongKey},
-			{"no such queue", 2, peer.Access{Queue: "gone", Key: "k"}, peer.NoQueue},
-			{"a newer config elsewhere", 3, peer.Access{Queue: "q", Key: "withdrawn"}, peer.NotLeader},
-			{"valid key", 1, peer.Access{Queue: "q", Key: "k"}, peer.Accepted},
-			{"open queue", 1, peer.Access{Queue: "o"}, peer.Accepted},
+			{"withdrawn key", peer.Access{Queue: "q", Host: "h", Path: "/q/a", Key: "withdrawn", Version: 1}, peer.WrongKey},
+			{"no such queue", peer.Access{Queue: "gone", Host: "h", Path: "/gone/", Key: "k", Version: 2}, peer.NoQueue},
+			{"a queue without the path", peer.Access{Queue: "moved", Host: "h", Path: "/old/", Key: "k", Version: 1}, peer.NoQueue},
+			{"a path that another queue has now", peer.Access{Queue: "moved", Host: "h", Path: "/q/a", Key: "k", Version: 1}, peer.NotLeader},
+			{"a newer config elsewhere", peer.Access{Queue: "q", Host: "h", Path: "/q/a", Key: "withdrawn", Version: 3}, peer.NotLeader},
+			{"valid key", peer.Access{Queue: "q", Host: "h", Path: "/q/a", Key: "k", Version: 1}, peer.Accepted},
+			{"open queue", peer.Access{Queue: "o", Host: "h", Path: "/o/a", Version: 1}, peer.Accepted},
 		} {
-			if got := submit("00000000000000a1", x.version, x.access); got != x.want {
+			if got := submit("00000000000000a1", x.access); got != x.want {
 				t.Errorf("%s: submission answered %q, want %q", x.name, got, x.want)
 			}
 		}
-		withdrawn := &peer.Access{Queue: "q", Key: "withdrawn"}
+		withdrawn := &peer.Access{Queue: "q", Host: "h", Path: "/q/a", Key: "withdrawn"}
 		for _, cancel := range []bool{false, true} {
 			if got := s.Job(context.Background(), peer.JobRequest{ID: "00000000000000a1", Cancel: cancel, Access: withdrawn}); got.Result != peer.WrongKey {
 				t.Errorf("withdrawn key, cancel %t: answered %q", cancel, got.Result)
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -161,7 +161,7 @@
 		return peer.JobReply{Result: peer.NotLeader}
 	}
 	if q.Access != nil {
-		customer, result := s.checkAccess(*q.Access, q.Version)
+		customer, result := s.checkAccess(*q.Access)
 		if result != peer.Accepted {
 			return peer.JobReply{Result: result}
 		}
@@ -178,7 +178,7 @@
 		return peer.JobReply{Result: peer.NotLeader}
 	}
 	if q.Access != nil {
-		if _, result := s.checkAccess(*q.Access, 0); result != peer.Accepted {
+		if _, result := s.checkAccess(*q.Access); result != peer.Accepted {
 			return peer.JobReply{Result: result}
 		}
 	}
@@ -190,17 +190,20 @@
 	})
 }
 
-// checkAccess returns the customer of a caller's key, "" on an open queue, or why the request is not accepted. version is
-// that of the calling instance's config.
-func (s *Service) checkAccess(a peer.Access, version int64) (customer string, result peer.Result) {
+// checkAccess returns the customer of a caller's key, "" on an open queue, or why the request is not accepted. A request whose
+// path belongs to another queue now is left to an instance that knows that queue.
+func (s *Service) checkAccess(a peer.Access) (customer string, result peer.Result) {
 	current, _ := s.Rules.Current()
-	if current.Config == nil || current.Config.Version < version {
+	if current.Config == nil || current.Config.Version < a.Version {
 		return "", peer.NotLeader
 	}
-	queue, ok := current.Config.Queue(a.Queue)
+	queue, ok := current.Config.Route(a.Host, a.Path)
 	if !ok {
 		return "", peer.NoQueue
 	}
+	if queue.Name != a.Queue {
+		return "", peer.NotLeader
+	}
 	if queue.Open {
 		return "", peer.Accepted
 	}
@@ -217,7 +220,7 @@
 		return peer.WaitingReply{Result: peer.NotLeader}
 	}
 	if q.Access != nil {
-		if _, result := s.checkAccess(*q.Access, 0); result != peer.Accepted {
+		if _, result := s.checkAccess(*q.Access); result != peer.Accepted {
 			return peer.WaitingReply{Result: result}
 		}
 	}
--- a/internal/serve/router/access_test.go
+++ b/internal/serve/router/access_test.go
@@ -70,7 +70,7 @@
 		for _, key := range []string{"known", "new"} {
 			l.result = peer.Accepted
 			check("outdated rules, accepted by the leader", kind("/q/a", key), "")
-			if want := (peer.Access{Queue: "q", Key: key}); l.last.Access == nil || *l.last.Access != want || l.last.Job.Queue != "" ||
+			if want := (peer.Access{Queue: "q", Host: "h", Path: "/q/a", Key: key, Version: 4}); l.last.Access == nil || *l.last.Access != want || l.last.Job.Queue != "" ||
 				l.last.Job.Customer != "" || l.last.Version != 4 {
 				t.Errorf("with outdated rules: %+v", l.last)
 			}
@@ -82,6 +82,11 @@
 		check("outdated rules, unknown queue", kind("/x/a", "known"), reject.KindStale)
 		l.result = peer.Accepted
 		check("outdated rules, open queue", kind("/o/a", ""), "")
+		l.result = peer.NoQueue
+		check("an open queue that the leader does not have", kind("/o/a", ""), reject.KindQueue)
+		if l.last.Access == nil || l.last.Access.Queue != "open" {
+			t.Errorf("outdated rules, open queue: %+v, the leader is not asked for the queue", l.last)
+		}
 		cache.Confirm(time.Now())
 		check("current again, unknown key", kind("/q/a", "new"), reject.KindKey)
 	})
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -163,13 +163,13 @@
 	Subpath string
 	// Version is that of the config with which the request was checked.
 	Version int64
-	// Access is set if the leader is to check the caller's key, because the rules of this instance may be out of date;
-	// Customer is not known then.
+	// Access is set if the leader is to check the queue and the caller's key, because the rules of this instance may be out of
+	// date; Customer is not known then.
 	Access *peer.Access
 }
 
 // Admit finds the queue of a host and path and checks the caller's key, unless the queue is open. While the rules may be
-// out of date it leaves the key to the leader, and rejects a request without a queue for another instance to decide.
+// out of date it leaves both checks to the leader, and rejects a request without a queue for another instance to decide.
 func (r *Router) Admit(host, path, key string) (Admission, error) {
 	current, _ := r.rules.Current()
 	if current.Config == nil {
@@ -187,11 +187,11 @@
 		return Admission{}, reject.New(reject.KindQueue, reject.WorkNotRun, "no such queue")
 	}
 	a := Admission{Queue: q, Subpath: strings.TrimPrefix(path, q.Prefix), Version: current.Config.Version}
-	if q.Open {
+	if outdated {
+		a.Access = &peer.Access{Queue: q.Name, Host: host, Path: path, Key: key, Version: a.Version}
 		return a, nil
 	}
-	if outdated {
-		a.Access = &peer.Access{Queue: q.Name, Key: key}
+	if q.Open {
 		return a, nil
 	}
 	if a.Customer, ok = current.Config.CustomerOf(key); !ok {
@@ -295,7 +295,8 @@
 
 // forwardWithRetry forwards a request to the leader. A request that has not reached a leader within leaderWaitTimeout
 // is rejected as not run; one that may have reached a leader is retried, which is safe, until shortly before the
-// context's deadline. An isolated instance does neither, so that the caller can try another one. It also reports whether an attempt before the answered one had an unknown outcome.
+// context's deadline. An isolated instance does neither, so that the caller can try another one. It also reports whether an
+// attempt before the answered one had an unknown outcome.
 func forwardWithRetry[Q peer.Message, A leaderReply](ctx context.Context, r *Router, m peer.Method[Q, A], q Q,
 	local func(context.Context, Q) A) (A, bool, error) {
 	began := time.Now()
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -39,11 +39,16 @@
 	Unknown Result = "open"
 )
 
-// Access asks the leader to find a job's queue and to check the caller's key, because the rules of the calling instance may
-// be out of date. The job then has neither a queue nor a customer, so that a leader of an earlier build does not accept it.
+// Access asks the leader to find the queue of a request and to check the caller's key, because the rules of the calling
+// instance may be out of date. A job that is submitted has neither a queue nor a customer then, so that a leader of an earlier
+// build does not accept it.
 type Access struct {
-	Queue string `json:"queue"`
-	Key   string `json:"key"`
+	// Queue is what the calling instance found for Host and Path under the config Version.
+	Queue   string `json:"queue"`
+	Host    string `json:"host"`
+	Path    string `json:"path"`
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
 }
 
 // SubmitRequest submits a job to the leader.
