relay, leader: An order without a reply is sent a second time

Change: a copy is sent 150 ms after an order without a reply, or at once when its connection broke, as long as this process may still act, and bounded by the replies that came in time. Starts, renewals, stops and throttles are executed once however often they come; a start whose second copy is declined stays of unknown outcome without blame for the worker.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -81,6 +81,10 @@
 	// reachable from here.
 	RelayNotSent
 	RelayNoReply
+	// AppliedAgain and DeclinedAgain: a second copy of a start was applied or declined, and the first one has no reply. The
+	// worker replies, and the first copy may have been executed or may still be.
+	AppliedAgain
+	DeclinedAgain
 )
 
 // Relayed returns the outcome as the leader sees it if a relay had it.
@@ -97,7 +101,8 @@
 
 // outcomeNames are the names of the outcomes in logs and in a label of the metrics.
 var outcomeNames = [...]string{"carried out", "not sent", "no reply", "unhealthy", "full", "outdated", "overdue",
-	"fenced", "replaced", "no ticket", "invalid", "withheld", "relay lost", "not sent by relay", "no reply to relay"}
+	"fenced", "replaced", "no ticket", "invalid", "withheld", "relay lost", "not sent by relay", "no reply to relay",
+	"carried out at the second copy", "second copy declined"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -146,6 +151,11 @@
 	case Applied:
 		r.phase = active
 		w.failures = 0
+	case AppliedAgain:
+		r.phase, r.repeated = active, true
+		w.failures = 0
+	case DeclinedAgain:
+		r.phase, r.repeated = startUnknown, true
 	case NoReply:
 		r.phase = startUnknown
 		sc.markUnresponsive(w)
--- a/internal/sched/engine/pending.go
+++ b/internal/sched/engine/pending.go
@@ -71,7 +71,8 @@
 func (p *pendingStarts) handleOutcome(key work.RunKey, result Outcome, sent, now time.Time) {
 	delete(p.issued, key)
 	switch {
-	case result == NoReply || result == NotSent || result == RelayNoReply || result == RelayNotSent || result == RelayLost:
+	case result == NoReply || result == NotSent || result == RelayNoReply || result == RelayNotSent || result == RelayLost ||
+		result == AppliedAgain || result == DeclinedAgain:
 	case now.Sub(sent) < p.lateReply:
 		if p.held {
 			p.limit = min(p.limit+startLimitGain*p.scale, maxPendingStarts*p.scale)
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -319,7 +319,8 @@
 }
 
 var outcomes = map[string]Outcome{"carried": Applied, "notsent": NotSent, "noreply": NoReply, "full": Full,
-	"replaced": Replaced, "ticketless": TicketRequired, "unhealthy": Unhealthy, "outdated": Outdated, "withheld": Withheld}
+	"replaced": Replaced, "ticketless": TicketRequired, "unhealthy": Unhealthy, "outdated": Outdated, "withheld": Withheld,
+	"again": AppliedAgain, "declinedagain": DeclinedAgain}
 
 func (s *script) handleOutcome(d *datadriven.TestData) string {
 	var text, result string
--- a/internal/sched/engine/unknown.go
+++ b/internal/sched/engine/unknown.go
@@ -75,14 +75,14 @@
 	w, now := r.worker, time.Now()
 	r.phase = startUnknown
 	switch result {
-	case Applied:
+	case Applied, AppliedAgain:
 		r.phase = active
 		w.failures = 0
 	case NoReply, NotSent:
 		sc.markUnresponsive(w)
 	case RelayNoReply, RelayNotSent:
 		sc.doubt(w)
-	case RelayLost:
+	case RelayLost, DeclinedAgain:
 	case Outdated:
 		// The worker will not run it again, as after a stop. The next list may still show how it ended.
 		sc.requestStop(r, reasonStartUnknown)
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -88,8 +88,10 @@
 	// epoch is the origin of the stamps in replies to heartbeats.
 	epoch        time.Time
 	orderMetrics orderMetrics
-	gauges       gauges
-	startDelay   metrics.Histogram
+	// executor executes the orders for workers without a relay.
+	executor   *relay.Executor
+	gauges     gauges
+	startDelay metrics.Histogram
 }
 
 // New returns a Service that doesn't lead yet.
@@ -98,7 +100,7 @@
 		o.Registry = metrics.NewRegistry()
 	}
 	return &Service{Options: o, heartbeats: map[string]heartbeat{}, epoch: time.Now(),
-		orderMetrics: newOrderMetrics(o.Registry), gauges: newGauges(o.Registry),
+		orderMetrics: newOrderMetrics(o.Registry), executor: relay.NewExecutor(o.Workers, o.Log), gauges: newGauges(o.Registry),
 		startDelay: histogram(o.Registry, "start_delay_ms")}
 }
 
--- a/internal/serve/leader/orders.go
+++ b/internal/serve/leader/orders.go
@@ -48,7 +48,7 @@
 	r := relay.Result{Order: o, Outcome: engine.Withheld}
 	// Authority may have ended since the order was planned, for example while the process was frozen.
 	if s.hasAuthority() {
-		r = relay.Run(ctx, s.service.Workers, o, s.leadership.FencingToken(), s.log)
+		r = s.service.executor.Run(ctx, o, s.leadership.FencingToken(), s.hasAuthority)
 	}
 	if ctx.Err() == nil {
 		s.results.add(r)
@@ -135,7 +135,7 @@
 
 func newOrderMetrics(r metrics.Registry) orderMetrics {
 	m := orderMetrics{outcomes: map[engine.Outcome]metrics.Counter{}, latency: histogram(r, "worker_order_ms")}
-	for o := engine.Applied; o <= engine.RelayNoReply; o++ {
+	for o := engine.Applied; o <= engine.DeclinedAgain; o++ {
 		m.outcomes[o] = metrics.GetOrRegisterCounter(fmt.Sprintf("worker_orders{result=%q}", o), r)
 	}
 	return m
--- a/internal/serve/relay/order.go
+++ b/internal/serve/relay/order.go
@@ -47,20 +47,20 @@
 	Reply   work.RenewalReply
 }
 
-// Run executes an order from this process. An order whose execution panics has no reply: it would end the process of each
-// instance that tries it.
-func Run(ctx context.Context, w Workers, o Order, fence int64, log *zap.Logger) (r Result) {
+// execute sends one copy of an order. An order whose execution panics has no reply: it would end the process of each instance
+// that tries it.
+func (e *Executor) execute(ctx context.Context, o Order, fence int64) (r Result) {
 	r = Result{Order: o, Outcome: engine.NoReply}
 	defer func() {
 		if p := recover(); p != nil {
-			log.Error("relay: executing an order panicked, its outcome is unknown", zap.String("worker", string(o.Worker())),
+			e.log.Error("relay: executing an order panicked, its outcome is unknown", zap.String("worker", string(o.Worker())),
 				zap.Any("panic", p), zap.Stack("stack"))
 		}
 	}()
 	if o.Command != nil {
-		r.Outcome = w.Execute(ctx, o.Command, fence)
+		r.Outcome = e.workers.Execute(ctx, o.Command, fence)
 	} else {
-		r.Reply, r.Outcome = w.Renew(ctx, o.Renewal, fence)
+		r.Reply, r.Outcome = e.workers.Renew(ctx, o.Renewal, fence)
 	}
 	return r
 }
--- a/internal/serve/relay/server.go
+++ b/internal/serve/relay/server.go
@@ -32,7 +32,7 @@
 
 // Server executes the orders of leaders.
 type Server struct {
-	workers Workers
+	executor *Executor
 	// knownTerm returns the latest term that this instance knows.
 	knownTerm func() int64
 	log       *zap.Logger
@@ -45,7 +45,7 @@
 
 // NewServer returns a server that executes orders with a client of the workers.
 func NewServer(w Workers, knownTerm func() int64, r metrics.Registry, log *zap.Logger) *Server {
-	return &Server{workers: w, knownTerm: knownTerm, log: log, epoch: time.Now(),
+	return &Server{executor: NewExecutor(w, log), knownTerm: knownTerm, log: log, epoch: time.Now(),
 		orders: metrics.GetOrRegisterCounter("relay_orders", r), withheld: metrics.GetOrRegisterCounter("relay_withheld", r)}
 }
 
@@ -136,10 +136,10 @@
 		return Result{Order: o.Order, Outcome: engine.Withheld}
 	}
 	end := time.Now().Add(o.wait)
-	r := Run(ctx, s.workers, o.Order, fence, s.log)
+	r := s.executor.Run(ctx, o.Order, fence, func() bool { return c.mayActUntil(until) })
 	for r.Outcome == engine.Applied && o.wait > 0 && len(r.Reply.Ended) == 0 && time.Now().Before(end) &&
 		c.mayActUntil(time.Duration(c.until.Load())) {
-		next := Run(ctx, s.workers, o.Order, fence, s.log)
+		next := s.executor.Run(ctx, o.Order, fence, func() bool { return c.mayActUntil(time.Duration(c.until.Load())) })
 		restarted := next.Reply.Incarnation != r.Reply.Incarnation
 		r = next
 		if restarted {
--- a/internal/serve/relay/wire.go
+++ b/internal/serve/relay/wire.go
@@ -104,6 +104,7 @@
 	engine.Unhealthy: peer.CodeUnhealthy, engine.Full: peer.CodeFull, engine.Outdated: peer.CodeOutdated,
 	engine.LeaseExpired: peer.CodeLeaseExpired, engine.Fenced: peer.CodeFenced, engine.Replaced: peer.CodeReplaced,
 	engine.TicketRequired: peer.CodeTicketRequired, engine.Invalid: peer.CodeInvalid, engine.Withheld: peer.CodeWithheld,
+	engine.AppliedAgain: peer.CodeAppliedAgain, engine.DeclinedAgain: peer.CodeDeclinedAgain,
 }
 
 var outcomes = invert(codes)
--- a/internal/wire/peer/relay.go
+++ b/internal/wire/peer/relay.go
@@ -139,6 +139,8 @@
 	CodeTicketRequired OutcomeCode = 10
 	CodeInvalid        OutcomeCode = 11
 	CodeWithheld       OutcomeCode = 12
+	CodeAppliedAgain   OutcomeCode = 13
+	CodeDeclinedAgain  OutcomeCode = 14
 )
 
 // Validate returns an error for an invalid message.
