--- a/internal/serve/relay/hedge_test.go
+++ b/internal/serve/relay/hedge_test.go
@@ -40,7 +40,9 @@
 }
 
 // Execute implements Workers.
-func (w *lossyWorkers) Execute(ctx context.Context, _ engine.Command, _ int64) engine.Outcome { return w.call(ctx) }
+func (w *lossyWorkers) Execute(ctx context.Context, _ engine.Command, _ int64) engine.Outcome {
+	return w.call(ctx)
+}
 
 // Renew implements Workers.
 func (w *lossyWorkers) Renew(ctx context.Context, _ engine.Renewal, _ int64) (work.RenewalReply, engine.Outcome) {
