rest, platform: Calls of the store get longer while it replies slowly

Cause: the time-out of 900 ms is just above the replies of a store that is fifty times slower (0.7 to 0.9 s). Change: the time-out grows to twice the slowest reply of the last seconds, at most 2 s. A silent store gets 900 ms as before.

--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -48,11 +48,15 @@
 	// polls limits long polls to all pooled connections but one, so that short calls never wait for a long poll.
 	polls   chan struct{}
 	timeout time.Duration
-	after   afterFunc
+	// slowTimeout is the longest time-out of a service that replies slowly, replies its recent replies.
+	slowTimeout time.Duration
+	replies     replyTimes
+	after       afterFunc
 }
 
 type settings struct {
 	timeout     time.Duration
+	slowTimeout time.Duration
 	connections int
 	transport   http.RoundTripper
 	dial        dialer
@@ -68,6 +72,10 @@
 // the body to the second. A call takes longer, by 2 s at most, while timers of this process fire late.
 func WithTimeout(d time.Duration) Option { return func(s *settings) { s.timeout = d } }
 
+// WithSlowTimeout lets the timeout grow up to a duration while the service replies slowly: to twice its slowest reply of the
+// last seconds. A service that does not reply at all gets the usual one.
+func WithSlowTimeout(d time.Duration) Option { return func(s *settings) { s.slowTimeout = d } }
+
 // WithConnections bounds the connections to the base URL; the least bound is 3.
 func WithConnections(n int) Option {
 	return func(s *settings) { s.connections = max(n, minConnections) }
@@ -91,7 +99,7 @@
 	unpooled := max(1, s.connections/10)
 	pooled := s.connections - unpooled
 	c := &Caller{
-		base: strings.TrimSuffix(base, "/"), timeout: s.timeout, after: time.AfterFunc, pooled: s.transport, unpooled: s.transport,
+		base: strings.TrimSuffix(base, "/"), timeout: s.timeout, slowTimeout: s.slowTimeout, after: time.AfterFunc, pooled: s.transport, unpooled: s.transport,
 		polls: make(chan struct{}, pooled-1),
 	}
 	if s.dial == nil {
@@ -176,10 +184,14 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := newCallTimer(c.after, c.timeout+q.Wait+transferTime(int64(len(body))), func() { cancel(errTimeout) })
+	began := time.Now()
+	timer := newCallTimer(c.after, c.callTimeout()+q.Wait+transferTime(int64(len(body))), func() { cancel(errTimeout) })
 	defer timer.stop()
 	reply, sent, err := c.exchange(ctx, q, body, timer)
 	if err == nil {
+		if q.Wait == 0 {
+			c.replies.add(time.Since(began))
+		}
 		return reply, nil
 	}
 	if p := (*Problem)(nil); errors.As(err, &p) {
