peer: Closing a client does not fail because a peer has gone

Cause: an idle TLS connection to an instance that ended before could not send its farewell, and the process that shut down gracefully ended with that error. Change: such failures are ignored. Test: TestCloseAfterPeer.

--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -56,8 +56,12 @@
 	return c
 }
 
-// Close closes every idle connection.
-func (c *Client) Close() error { return c.pool.Close() }
+// Close closes every idle connection. A connection whose peer has gone before is closed too, so that its failure to say so
+// is no error. It implements io.Closer.
+func (c *Client) Close() error {
+	_ = c.pool.Close()
+	return nil
+}
 
 // Call sends a request to the peer at an address and waits for its reply or the end of the context.
 // When the context ends during a call, the connection is closed and not reused.
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -72,3 +73,30 @@
 		t.Errorf("the next call: %+v, %v", a, err)
 	}
 }
+
+// brokenConn is a connection whose peer has gone by the time it is closed.
+type brokenConn struct{ net.Conn }
+
+// Close implements net.Conn.
+func (c brokenConn) Close() error {
+	_ = c.Conn.Close()
+	return errors.New("tls: failed to send closeNotify alert: connection reset by peer")
+}
+
+// Guards against a process that ends with an error although it has shut down gracefully, because a peer to which it had an
+// idle connection ended before it.
+func TestCloseAfterPeer(t *testing.T) {
+	address := serve(t, "secret")
+	client := peer.NewClient("secret", peer.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return brokenConn{conn}, err
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if _, err := peer.Call(ctx, client, address, peer.MethodSync, peer.SyncRequest{From: "a.1", Revision: 6}); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Close(); err != nil {
+		t.Errorf("close: %v", err)
+	}
+}
