spec: A section text that is not UTF-8 is a finding

Cause: YAML may be UTF-16, so that a body that begins with its mark was accepted, but the stored JSON can't hold it: the edit failed with status 500. Found by FuzzBodies in its first ten minutes by hand. Change: such a text is reported as a finding with status 422, as other faults of a section.

--- a/internal/model/spec/decode.go
+++ b/internal/model/spec/decode.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 	"time"
 
 	"gopkg.in/yaml.v3"
@@ -73,6 +74,11 @@
 		d.addFinding(position{section: section}, "text is longer than %d bytes", MaxTextBytes)
 		return nil
 	}
+	if !utf8.ValidString(text) {
+		// YAML allows UTF-16, which would not survive the stored JSON.
+		d.addFinding(position{section: section}, "text is not UTF-8")
+		return nil
+	}
 	dec := yaml.NewDecoder(bytes.NewBufferString(text))
 	var n, second yaml.Node
 	if err := dec.Decode(&n); errors.Is(err, io.EOF) {
