--- a/internal/model/spec/decode.go
+++ b/internal/model/spec/decode.go
@@ -9,8 +9,8 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"unicode/utf8"
 	"time"
+	"unicode/utf8"
 
 	"gopkg.in/yaml.v3"
 
