leader, router, engine: Logs and metrics of callers' requests, of cancellations and of what waits for the store

The logs did not tell a store that takes too few rows from a leader that takes on too much, and said nothing of cancellations. No change of logic.

--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -103,6 +103,8 @@
 	due []*worker
 	// startDelays are how long jobs waited for their first start, since the last TakeStartDelays.
 	startDelays []time.Duration
+	// relisted counts the ends that were listed again since the last TakeRelisted.
+	relisted int
 	// touched are the workers whose next renewal may have changed.
 	touched []*worker
 }
--- a/internal/sched/engine/load.go
+++ b/internal/sched/engine/load.go
@@ -56,3 +56,10 @@
 	}
 	sc.startDelays = append(sc.startDelays, max(now.Sub(since), 0))
 }
+
+// TakeRelisted returns how many ends workers have listed again since the last call because they were not acknowledged yet.
+func (sc *Scheduler) TakeRelisted() int {
+	n := sc.relisted
+	sc.relisted = 0
+	return n
+}
--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -78,8 +78,11 @@
 	// batch; OldestNewJob is when the first of the new jobs was accepted, zero without any.
 	NewJobs, Left int
 	OldestNewJob  time.Time
-	jobVersions   map[work.JobID]int
-	jobStates     map[work.JobID]work.State
+	// Ended counts the ended jobs that wait to be stored, LeftEnded those of them that found no room. Unacknowledged counts
+	// the ends of runs that workers go on to list.
+	Ended, LeftEnded, Unacknowledged int
+	jobVersions                      map[work.JobID]int
+	jobStates                        map[work.JobID]work.State
 	// inUse is true for a worker whose record is written, false for one whose record is deleted.
 	inUse        map[work.WorkerID]bool
 	ackedEnds    map[work.WorkerID]int64
@@ -175,6 +178,17 @@
 		sc.deleted = sc.deleted[1:]
 	}
 	c.Left = len(newJobs) + len(others) - len(c.jobVersions)
+	for _, j := range others {
+		if j.state.Final() {
+			c.Ended++
+			if _, taken := c.jobVersions[j.ID]; !taken {
+				c.LeftEnded++
+			}
+		}
+	}
+	for _, w := range sc.index.unacked {
+		c.Unacknowledged += len(w.unackedEnds)
+	}
 	for id, w := range sc.index.unacked {
 		if n := sc.lastStoredEnd(w, c.jobVersions); n > w.ackedEnd {
 			c.ackedEnds[id], c.incarnations[id] = n, w.Incarnation
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -293,6 +293,7 @@
 func (sc *Scheduler) handleEnds(w *worker, list []work.End) {
 	for _, e := range list {
 		if e.Number <= w.handledEnd {
+			sc.relisted++
 			continue
 		}
 		w.handledEnd = e.Number
--- a/internal/sched/engine/submit.go
+++ b/internal/sched/engine/submit.go
@@ -97,6 +97,9 @@
 	return j.version, nil
 }
 
+// Has reports whether the scheduler has a job, stored or not.
+func (sc *Scheduler) Has(id work.JobID) bool { return sc.jobs[id] != nil }
+
 // IsStored reports whether the store holds a version of a job, or a later one; true for a job that is no longer kept.
 func (sc *Scheduler) IsStored(id work.JobID, version int) bool {
 	j, ok := sc.jobs[id]
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -169,7 +169,9 @@
 		}
 		q.Job.Queue, q.Job.Customer = q.Access.Queue, customer
 	}
-	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply { return ss.submit(ctx, q) })
+	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply {
+		return ss.answer(kindSubmit, func() peer.JobReply { return ss.submit(ctx, q) })
+	})
 }
 
 // Job returns the state of a job, or cancels it and returns when that is stored, or with peer.Unknown if the context or
@@ -186,9 +188,9 @@
 	}
 	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply {
 		if q.Cancel {
-			return ss.cancel(ctx, q.ID)
+			return ss.answer(kindCancel, func() peer.JobReply { return ss.cancel(ctx, q.ID) })
 		}
-		return ss.state(q.ID)
+		return ss.answer(kindState, func() peer.JobReply { return ss.state(q.ID) })
 	})
 }
 
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -64,6 +64,8 @@
 	operations   *operationLog
 	// transactions is used by the commit loop only.
 	transactions txLog
+	// storedVersion is the store's version after the last transaction of the commit loop.
+	storedVersion atomic.Uint64
 
 	authorityMu sync.Mutex
 	// authorityUntil is when the authority to send commands ends unless it is confirmed again before.
@@ -77,8 +79,9 @@
 	relayOf atomic.Pointer[assign.Assignment]
 	// relayNames are the relays in use, for the log; only relayLoop uses it.
 	relayNames string
-	// work is what was done since the last report in the log.
-	work loadLog
+	// work is what was done since the last report in the log, requests are the callers' requests since then.
+	work     loadLog
+	requests *requestLog
 	// pools is the state of the pools at the last decision on moves; mu guards it.
 	pools []shift.Report
 	// done is closed when the session ends.
@@ -93,6 +96,7 @@
 		operations: newOperationLog(s.Clock, s.Moves.TakeoverPause+operationTTL, s.Log),
 		planWake:   make(chan struct{}, 1), commitWake: make(chan struct{}, 1), renewalWake: make(chan struct{}, 1),
 		results: resultQueue{wake: make(chan struct{}, 1)}, done: make(chan struct{}), transactions: txLog{log: s.Log},
+		requests: newRequestLog(),
 	}
 }
 
@@ -262,6 +266,7 @@
 		if err != nil {
 			return err
 		}
+		s.storedVersion.Store(s.leadership.Version())
 		s.observeCommit(time.Since(began))
 		s.service.observe("store_commit_ms", began)
 		s.transactions.record(batch, began, queued)
@@ -319,6 +324,9 @@
 		if leaving = s.steppingDown || s.leadership.Lost(); leaving {
 			return
 		}
+		if s.scheduler.Has(j.ID) {
+			s.requests.again()
+		}
 		version, err = s.scheduler.Submit(j)
 		behind = s.scheduler.Version() < q.Version
 		machinesUnknown = s.service.Machines != nil && !s.scheduler.KnowsMachines()
@@ -353,6 +361,7 @@
 }
 
 func (s *session) cancel(ctx context.Context, id work.JobID) peer.JobReply {
+	began := time.Now()
 	var queue string
 	var version int
 	var err error
@@ -366,8 +375,12 @@
 	}
 	s.wakeLoops()
 	if !s.awaitWritten(ctx, id, version) {
+		s.log.Warn("leader: store did not confirm a cancellation in time, outcome unknown", zap.String("job", string(id)),
+			zap.Duration("took", time.Since(began)), zap.Duration("age", s.leadership.SinceConfirmed()))
 		return peer.JobReply{Result: peer.Unknown}
 	}
+	s.log.Info("leader: cancellation stored", zap.String("job", string(id)), zap.Duration("took", time.Since(began)),
+		zap.Uint64("version", s.storedVersion.Load()))
 	return peer.JobReply{Result: peer.Accepted, State: work.Cancelled, Queue: queue}
 }
 
--- a/internal/serve/leader/txlog.go
+++ b/internal/serve/leader/txlog.go
@@ -46,6 +46,7 @@
 	}
 	l.log.Info("leader: store transactions", zap.Int("count", l.transactions), zap.Int("rows", l.rows),
 		zap.Duration("longest", l.longest), zap.Duration("queued", l.queued), zap.Duration("oldest", l.oldestJob),
-		zap.Int("new", batch.NewJobs), zap.Int("left", batch.Left))
+		zap.Int("new", batch.NewJobs), zap.Int("left", batch.Left),
+		zap.Int("ended", batch.Ended), zap.Int("leftEnded", batch.LeftEnded), zap.Int("unacknowledged", batch.Unacknowledged))
 	*l = txLog{log: l.log, since: now}
 }
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -301,6 +301,7 @@
 	local func(context.Context, Q) A) (A, bool, error) {
 	began := time.Now()
 	unknown := false
+	attempts := 0
 	var lastErr error
 	var none A
 	for {
@@ -313,8 +314,11 @@
 			return none, false, reject.New(reject.KindStale, reject.WorkNotRun, "this instance is cut off").
 				WithRetryAfter(isolatedRetryAfter)
 		}
+		attempts++
+		sent := time.Now()
 		reply, maybeReached, err := forwardOnce(ctx, r, m, q, local)
 		unknown = unknown || maybeReached
+		r.logAttempt(q, attempts, reply, time.Since(sent), time.Since(began), err)
 		switch {
 		case err == nil && reply.Outcome() == peer.Unknown:
 			unknown = true
@@ -343,6 +347,18 @@
 	}
 }
 
+// logAttempt logs an attempt to forward a cancellation, so that it can be followed from the caller to the store, and further
+// attempts to submit a job.
+func (r *Router) logAttempt(q any, attempt int, reply leaderReply, took, age time.Duration, err error) {
+	cancel, isJob := q.(peer.JobRequest)
+	_, isSubmit := q.(peer.SubmitRequest)
+	if !(isJob && cancel.Cancel) && !(isSubmit && attempt > 1) {
+		return
+	}
+	r.log.Info("router: request forwarded", zap.Any("request", describe(q)), zap.Int("attempt", attempt),
+		zap.String("result", string(reply.Outcome())), zap.Duration("took", took), zap.Duration("age", age), zap.Error(err))
+}
+
 // nearDeadline reports whether too little time is left before the deadline for another attempt.
 func nearDeadline(ctx context.Context) bool {
 	d, ok := ctx.Deadline()
--- a/internal/state/elect/leadership.go
+++ b/internal/state/elect/leadership.go
@@ -37,6 +37,8 @@
 
 	// confirmedAt is when the last attempt of the last successful transaction was sent, in nanoseconds since epoch.
 	confirmedAt atomic.Int64
+	// confirmedVersion is the store's version after that transaction.
+	confirmedVersion atomic.Uint64
 	// refusedSince is when the store first refused a transaction, or could not be reached, after the last successful one,
 	// in nanoseconds since epoch; 0 means that it has not.
 	refusedSince atomic.Int64
@@ -82,6 +84,7 @@
 		return nil, fmt.Errorf("elect: acquire leadership: %w", err)
 	}
 	l.version, l.fence = version, version
+	l.confirmedVersion.Store(version)
 	l.confirmedAt.Store(int64(sent.Sub(l.epoch)))
 	return l, nil
 }
@@ -127,6 +130,9 @@
 // operations may have no record.
 func (l *Leadership) StatesUnlogged() bool { return !l.logged.Load() && !l.storedLogged.Load() }
 
+// Version returns the store's version after the last transaction that it has confirmed.
+func (l *Leadership) Version() uint64 { return l.confirmedVersion.Load() }
+
 // Commit writes rows as the leader and confirms leadership; it repeats the transaction until its outcome is known. It
 // returns how long the transaction waited for others of this leader, and ErrLost if leadership is lost or released, the
 // context's error if that ends first, and the store's error if the transaction is invalid.
@@ -191,6 +197,7 @@
 		}
 		if err == nil {
 			l.record, l.version = next, version
+			l.confirmedVersion.Store(version)
 			l.storedLogged.Store(next.Logged)
 			l.confirmedAt.Store(int64(sent.Sub(l.epoch)))
 			l.refusedSince.Store(0)
