engine: A surge of new jobs starves neither cancellations nor ends nor workers

Cause: a batch held new jobs first, all of them; with more new jobs than a transaction takes nothing else was ever stored. Ends that are not stored are not acknowledged, and the workers listed up to 35,000 a second again. Change: cancelled jobs and new ones share one order, by how long their callers have waited; a third of a batch is kept for workers and for jobs that nobody waits for.

--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -100,8 +100,12 @@
 
 // Limits of one batch, below those of a transaction of the store. The last row may take a batch beyond maxBatchBytes.
 const (
-	maxBatchWrites = 90
-	maxBatchBytes  = 600 << 10
+	// MaxBatchRows is the largest number of writes that can all be rows of one transaction.
+	MaxBatchRows  = 90
+	maxBatchBytes = 600 << 10
+	// reservedShare is the part of a batch that is kept for workers and for jobs that no request waits for: if nothing of
+	// them were stored, no new worker would be used and no end be acknowledged.
+	reservedShare = 1.0 / 3
 )
 
 // Dirty reports whether there are changes to store or ended runs to acknowledge.
@@ -109,10 +113,13 @@
 	return len(sc.dirty) > 0 || len(sc.deleted) > 0 || len(sc.dirtyWorkers) > 0 || len(sc.index.unacked) > 0
 }
 
-// Batch returns the next writes for the store. It acknowledges each end whose change it or an earlier batch holds, if the
+// Batch returns the next writes for the store, at most MaxBatchRows.
+func (sc *Scheduler) Batch() (Batch, error) { return sc.BatchOf(MaxBatchRows) }
+
+// BatchOf returns the next writes for the store, at most a number of them. It acknowledges each end whose change it or an earlier batch holds, if the
 // same is true of all earlier ends of its worker. The deletions of jobs past their retention are returned only once,
 // other changes until HandleCommit confirms them.
-func (sc *Scheduler) Batch() (Batch, error) {
+func (sc *Scheduler) BatchOf(limit int) (Batch, error) {
 	c := Batch{jobVersions: map[work.JobID]int{}, jobStates: map[work.JobID]work.State{}, inUse: map[work.WorkerID]bool{},
 		ackedEnds: map[work.WorkerID]int64{}, incarnations: map[work.WorkerID]int64{}}
 	size := 0
@@ -125,23 +132,22 @@
 		c.Writes = append(c.Writes, table.Write{Key: key, Value: value})
 		return nil
 	}
-	complete := true
-	// full reports whether the batch takes no further job, and then marks it incomplete. It keeps two rows free, the most
+	// full reports whether the batch takes no further job if it may have a number of rows. It keeps two rows free, the most
 	// that a job takes.
-	full := func() bool {
-		if len(c.Writes)+2 > maxBatchWrites || size > maxBatchBytes {
-			complete = false
+	full := func(rows int) bool { return len(c.Writes)+2 > rows || size > maxBatchBytes }
+	awaited, others := sc.dirtyJobs()
+	for _, j := range awaited {
+		if j.stored {
+			continue
+		}
+		c.NewJobs++
+		if c.OldestNewJob.IsZero() {
+			c.OldestNewJob = time.UnixMilli(j.Accepted)
 		}
-		return !complete
-	}
-	newJobs, others := sc.dirtyJobs()
-	c.NewJobs = len(newJobs)
-	if len(newJobs) > 0 {
-		c.OldestNewJob = time.UnixMilli(newJobs[0].Accepted)
 	}
-	save := func(list []*job) error {
+	save := func(list []*job, rows int) error {
 		for _, j := range list {
-			if full() {
+			if full(rows) {
 				return nil
 			}
 			if err := sc.encodeJob(j, add, &c); err != nil {
@@ -152,11 +158,12 @@
 		}
 		return nil
 	}
-	if err := save(newJobs); err != nil {
+	reserved := min(int(reservedShare*float64(limit)), len(sc.dirtyWorkers)+2*len(others))
+	if err := save(awaited, limit-reserved); err != nil {
 		return c, err
 	}
 	for id := range sc.dirtyWorkers {
-		if full() {
+		if full(limit) {
 			break
 		}
 		if w, ok := sc.workers[id]; ok && w.inUse {
@@ -170,18 +177,18 @@
 			c.inUse[id] = false
 		}
 	}
-	if err := save(others); err != nil {
+	if err := save(others, limit); err != nil {
 		return c, err
 	}
-	for len(sc.deleted) > 0 && !full() {
+	for len(sc.deleted) > 0 && !full(limit) {
 		c.Writes = append(c.Writes, table.Write{Key: PrefixJob + string(sc.deleted[0]), Delete: true})
 		sc.deleted = sc.deleted[1:]
 	}
-	c.Left = len(newJobs) + len(others) - len(c.jobVersions)
-	for _, j := range others {
+	c.Left = len(sc.dirty) - len(c.jobVersions)
+	for id, j := range sc.dirty {
 		if j.state.Final() {
 			c.Ended++
-			if _, taken := c.jobVersions[j.ID]; !taken {
+			if _, taken := c.jobVersions[id]; !taken {
 				c.LeftEnded++
 			}
 		}
@@ -217,22 +224,33 @@
 	return last
 }
 
-// dirtyJobs returns the jobs to store: new ones, whose callers wait for the reply, and others, of which those that have
-// ended come first, each by age. The order matters because a slow store takes fewer jobs than have changed.
-func (sc *Scheduler) dirtyJobs() (newJobs, others []*job) {
+// dirtyJobs returns the jobs to store: those whose callers wait, which are new or cancelled, by how long these have waited,
+// and others, of which those that have ended come first, by age. The order matters because a slow store takes fewer jobs than
+// have changed.
+func (sc *Scheduler) dirtyJobs() (awaited, others []*job) {
 	for _, j := range sc.dirty {
-		if j.stored {
-			others = append(others, j)
+		if !j.stored || j.state == work.Cancelled {
+			awaited = append(awaited, j)
 		} else {
-			newJobs = append(newJobs, j)
+			others = append(others, j)
 		}
 	}
 	byAge := func(x, y *job) int { return cmp.Or(cmp.Compare(x.Accepted, y.Accepted), cmp.Compare(x.ID, y.ID)) }
-	slices.SortFunc(newJobs, byAge)
+	slices.SortFunc(awaited, func(x, y *job) int {
+		return cmp.Or(cmp.Compare(x.awaitedSince(), y.awaitedSince()), cmp.Compare(x.ID, y.ID))
+	})
 	slices.SortFunc(others, func(x, y *job) int {
 		return cmp.Or(compareBool(!x.state.Final(), !y.state.Final()), byAge(x, y))
 	})
-	return newJobs, others
+	return awaited, others
+}
+
+// awaitedSince returns since when a request has waited for the job to be stored, in milliseconds since 1970.
+func (j *job) awaitedSince() int64 {
+	if j.stored {
+		return j.finishedAt.UnixMilli()
+	}
+	return j.Accepted
 }
 
 // encodeJob adds the writes of a job: its record if it is new or has ended, else its progress.
--- a/internal/sched/engine/record_test.go
+++ b/internal/sched/engine/record_test.go
@@ -23,7 +23,7 @@
 			t.Fatal(err)
 		}
 	}
-	for i := range 4 * maxBatchWrites {
+	for i := range 4 * MaxBatchRows {
 		submit(fmt.Sprintf("%016x", i))
 	}
 	for sc.Dirty() {
@@ -51,7 +51,7 @@
 // end was acknowledged until a transaction held every change, and reading the lists left the leader no time for anything
 // else. An end must not be acknowledged before its result is stored either.
 func TestEndsAreAcknowledgedAsTheirResultsAreStored(t *testing.T) {
-	const jobs = 3 * maxBatchWrites
+	const jobs = 3 * MaxBatchRows
 	workers := []work.Worker{{ID: "w1", Pool: "p", Capacity: work.Need{CPU: jobs / 2}},
 		{ID: "w2", Pool: "p", Capacity: work.Need{CPU: jobs / 2}}}
 	sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}}, workers)
