rowlog, leader: One transaction takes as many changes as wait, not 90

Cause: a transaction held at most 90 rows, 160 rows a second against 400 jobs a second; jobs are stored by age, so that all of them waited longer than their callers. No entries are written while a peer is known that does not read them.

--- a/internal/serve/leader/commands_test.go
+++ b/internal/serve/leader/commands_test.go
@@ -14,6 +14,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
+	"github.com/yuccahaven/yuccahaven/internal/state/rowlog"
 )
 
 // countingWorkers counts the calls.
@@ -41,7 +42,7 @@
 			t.Fatal(err)
 		}
 		var workers countingWorkers
-		s := newSession(New(Options{Workers: &workers, Scheduler: engine.DefaultOptions(), Log: zap.NewNop()}), l)
+		s := newSession(New(Options{Workers: &workers, Scheduler: engine.DefaultOptions(), Log: zap.NewNop()}), l, rowlog.New(1))
 		send := func() {
 			s.execute(t.Context(), relay.Order{Command: engine.Start{Worker: "w"}})
 			s.execute(t.Context(), relay.Order{Command: engine.Stop{Worker: "w"}})
--- a/internal/serve/leader/handover_test.go
+++ b/internal/serve/leader/handover_test.go
@@ -28,7 +28,7 @@
 				p := path{from, to}
 				q := peer.HeartbeatRequest{From: from.name, Address: from.name, Term: r.Term,
 					ElectionDelay: from.electionDelay(), Echo: replies[p].Stamp, EchoTerm: replies[p].Term, Zone: "a",
-					Relays: c.relayed}
+					Relays: c.relayed, ReadsRowLog: true}
 				send := func() peer.HeartbeatReply { return to.service.Load().HandleHeartbeat(q) }
 				if !c.holdUp(from, to, func() { send() }) {
 					replies[p] = send()
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -17,6 +17,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
+	"github.com/yuccahaven/yuccahaven/internal/state/rowlog"
 	"github.com/yuccahaven/yuccahaven/internal/state/rules"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
@@ -120,12 +121,16 @@
 		s.releaseAfterFailure(l)
 		return
 	}
-	ss := newSession(s, l)
+	items, rows, damaged := rowlog.Restore(items, l.Term())
+	for _, err := range damaged {
+		s.Log.Error("leader: stored log row can't be read; skipping it", zap.Error(err))
+	}
+	ss := newSession(s, l, rows)
 	ss.scheduler.Restore(items)
 	ss.restoreWaves(items)
 	ss.operations.restore(items)
 	ss.applyRules()
-	s.Log.Info("leader: stored state loaded", zap.Int("rows", len(items)), zap.Duration("took", time.Since(began)),
+	s.Log.Info("leader: stored state loaded", zap.Int("rows", len(items)), zap.Int("logRows", rows.Rows()), zap.Duration("took", time.Since(began)),
 		zap.Int64("term", l.Term()))
 	s.setSession(ss, l)
 	ss.run(ctx)
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -13,6 +13,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
+	"github.com/yuccahaven/yuccahaven/internal/state/rowlog"
 )
 
 const (
@@ -55,7 +56,8 @@
 	var confirming sync.WaitGroup
 	confirming.Go(func() { s.confirmDuringLoad(readCtx, fail, l) })
 	x := &loader{service: s, leadership: l, fail: fail, places: make(chan struct{}, loadReaders)}
-	for _, prefix := range []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, prefixWave, prefixOperation} {
+	for _, prefix := range []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, rowlog.Prefix, prefixWave,
+		prefixOperation} {
 		x.reads.Go(func() { x.prefix(readCtx, prefix) })
 	}
 	x.reads.Wait()
--- a/internal/serve/leader/peers.go
+++ b/internal/serve/leader/peers.go
@@ -48,8 +48,8 @@
 	address       string
 	electionDelay time.Duration
 	zone          string
-	// relays means that the peer relays orders.
-	relays bool
+	// relays means that the peer relays orders, readsRowLog that it reads log rows when it takes over.
+	relays, readsRowLog bool
 	// confirmedAt is the latest time after which the peer is known to have known of no later term than confirmedTerm,
 	// a term of this process: the stamp that it echoed.
 	confirmedAt   time.Time
@@ -64,7 +64,7 @@
 	l := s.leadership
 	h := s.heartbeats[q.From]
 	h.at, h.address, h.electionDelay = now, q.Address, q.ElectionDelay
-	h.zone, h.relays = q.Zone, q.Relays
+	h.zone, h.relays, h.readsRowLog = q.Zone, q.Relays, q.ReadsRowLog
 	if at := s.epoch.Add(q.Echo); l != nil && q.Echo > 0 && q.EchoTerm == l.Term() && q.Term <= l.Term() &&
 		at.After(h.confirmedAt) && !at.After(now) {
 		h.confirmedAt, h.confirmedTerm = at, q.EchoTerm
@@ -126,6 +126,19 @@
 	return earliest
 }
 
+// peersReadRowLog reports whether every peer reads log rows when it takes over. A peer of an earlier build would lose what is
+// in them.
+func (s *Service) peersReadRowLog() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.heartbeats {
+		if !h.readsRowLog && time.Since(h.at) <= memberMaxAge {
+			return false
+		}
+	}
+	return true
+}
+
 // askPeers asks the peers for the latest term that they know, while their heartbeats come too seldom to confirm authority
 // without the store. A peer that knows of no later term when it answers knew of none when it was asked.
 func (s *Service) askPeers(ctx context.Context, l *elect.Leadership) {
--- a/internal/serve/leader/report.go
+++ b/internal/serve/leader/report.go
@@ -107,14 +107,15 @@
 
 // gauges are the leader's gauges; they are 0 while this process does not lead.
 type gauges struct {
-	term, authority, relays, relayed, direct, unfinished, runs, outstanding, unresponsive metrics.Gauge
+	term, authority, relays, relayed, direct, unfinished, runs, outstanding, unresponsive, logRows metrics.Gauge
 }
 
 func newGauges(r metrics.Registry) gauges {
 	g := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge(name, r) }
 	return gauges{term: g("leader_term"), authority: g("leader_authority_ms"), relays: g("leader_relays"),
 		relayed: g("leader_relayed_workers"), direct: g("leader_direct_workers"), unfinished: g("leader_unfinished_jobs"),
-		runs: g("leader_runs"), outstanding: g("leader_outstanding_starts"), unresponsive: g("leader_unresponsive_workers")}
+		runs: g("leader_runs"), outstanding: g("leader_outstanding_starts"), unresponsive: g("leader_unresponsive_workers"),
+		logRows: g("leader_log_rows")}
 }
 
 // set sets the gauges to a report; the zero Report stands for a process that does not lead.
@@ -132,6 +133,9 @@
 	g.runs.Update(int64(r.Load.Runs))
 	g.outstanding.Update(int64(r.Load.OutstandingStarts))
 	g.unresponsive.Update(int64(r.Load.Unresponsive))
+	if r.Term == 0 {
+		g.logRows.Update(0)
+	}
 }
 
 // UpdateMetrics sets the leader's gauges; it is called when metrics are read.
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -16,6 +16,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
+	"github.com/yuccahaven/yuccahaven/internal/state/rowlog"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -34,6 +35,9 @@
 	// peersNeededBelow is the time that authority must have left for the peers not to matter. It is longer than the time
 	// between two checks of authority by tickLoop, also when these are late.
 	peersNeededBelow = 1200 * time.Millisecond
+	// maxBatchChanges is the largest number of changes of jobs and workers in one transaction; those beyond
+	// engine.MaxBatchRows become entries of log rows.
+	maxBatchChanges = 1500
 	// authorityMaxAge is how long a transaction confirms the right to send commands; after that all peers must.
 	authorityMaxAge = 2 * time.Second
 )
@@ -62,7 +66,8 @@
 	// changedWaves are the numbers of the waves whose progress is to be stored.
 	changedWaves map[int64]bool
 	operations   *operationLog
-	// transactions is used by the commit loop only.
+	// rows and transactions are used by the commit loop only.
+	rows         *rowlog.Log
 	transactions txLog
 	// storedVersion is the store's version after the last transaction of the commit loop.
 	storedVersion atomic.Uint64
@@ -88,7 +93,7 @@
 	done chan struct{}
 }
 
-func newSession(s *Service, l *elect.Leadership) *session {
+func newSession(s *Service, l *elect.Leadership, rows *rowlog.Log) *session {
 	return &session{
 		service: s, leadership: l, log: s.Log, scheduler: engine.New(s.Options.Scheduler, l.Term(), s.Log),
 		renewals: newRenewalQueue(), committed: make(chan struct{}),
@@ -96,7 +101,7 @@
 		operations: newOperationLog(s.Clock, s.Moves.TakeoverPause+operationTTL, s.Log),
 		planWake:   make(chan struct{}, 1), commitWake: make(chan struct{}, 1), renewalWake: make(chan struct{}, 1),
 		results: resultQueue{wake: make(chan struct{}, 1)}, done: make(chan struct{}), transactions: txLog{log: s.Log},
-		requests: newRequestLog(),
+		requests: newRequestLog(), rows: rows,
 	}
 }
 
@@ -252,24 +257,32 @@
 }
 
 func (s *session) commit(ctx context.Context) error {
+	limit := engine.MaxBatchRows
+	if s.service.peersReadRowLog() {
+		limit = maxBatchChanges
+	}
 	s.mu.Lock()
-	batch, err := s.scheduler.Batch()
-	batch.Writes = append(batch.Writes, s.takeWaveWrites()...)
-	batch.Writes = append(batch.Writes, s.operations.takeWrites()...)
+	batch, err := s.scheduler.BatchOf(limit)
+	others := append(s.takeWaveWrites(), s.operations.takeWrites()...)
 	s.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	if len(batch.Writes) > 0 || s.leadership.SinceConfirmed() >= elect.ConfirmInterval {
+	if len(batch.Writes)+len(others) > 0 || s.leadership.SinceConfirmed() >= elect.ConfirmInterval {
 		began := time.Now()
-		queued, err := s.leadership.Commit(ctx, batch.Writes)
+		writes, err := s.rows.Fold(batch.Writes, engine.MaxBatchRows)
+		if err != nil {
+			return err
+		}
+		queued, err := s.leadership.Commit(ctx, append(writes, others...))
 		if err != nil {
 			return err
 		}
 		s.storedVersion.Store(s.leadership.Version())
 		s.observeCommit(time.Since(began))
 		s.service.observe("store_commit_ms", began)
-		s.transactions.record(batch, began, queued)
+		s.transactions.record(batch, len(writes)+len(others), s.rows.Rows(), began, queued)
+		s.service.gauges.logRows.Update(int64(s.rows.Rows()))
 	}
 	s.mu.Lock()
 	s.scheduler.HandleCommit(batch)
--- a/internal/serve/leader/txlog.go
+++ b/internal/serve/leader/txlog.go
@@ -19,24 +19,26 @@
 type txLog struct {
 	log   *zap.Logger
 	since time.Time
-	// transactions and rows are counts since then, longest and queued the longest times that a transaction took and
+	// transactions, rows and changes are counts since then, longest and queued the longest times that a transaction took and
 	// waited for others of the leader.
-	transactions, rows int
-	longest, queued    time.Duration
+	transactions, rows, changes int
+	longest, queued             time.Duration
 	// oldestJob is the longest time from the acceptance of a job to the transaction with its record.
 	oldestJob time.Duration
 }
 
-// record adds a transaction that has succeeded and began at a time, and reports once per txLogInterval.
-func (l *txLog) record(batch engine.Batch, began time.Time, queued time.Duration) {
+// record adds a transaction of some rows that has succeeded and began at a time, after which the store holds a number of log
+// rows, and reports once per txLogInterval.
+func (l *txLog) record(batch engine.Batch, rows, logRows int, began time.Time, queued time.Duration) {
 	now := time.Now()
 	took := now.Sub(began)
 	if took >= slowCommit {
 		l.log.Warn("leader: store transaction was slow", zap.Duration("took", took), zap.Duration("queued", queued),
-			zap.Int("rows", len(batch.Writes)), zap.Int("bytes", batch.Size()))
+			zap.Int("rows", rows), zap.Int("changes", len(batch.Writes)), zap.Int("bytes", batch.Size()))
 	}
 	l.transactions++
-	l.rows += len(batch.Writes)
+	l.rows += rows
+	l.changes += len(batch.Writes)
 	l.longest, l.queued = max(l.longest, took), max(l.queued, queued)
 	if batch.NewJobs > 0 {
 		l.oldestJob = max(l.oldestJob, began.Sub(batch.OldestNewJob))
@@ -45,6 +47,7 @@
 		return
 	}
 	l.log.Info("leader: store transactions", zap.Int("count", l.transactions), zap.Int("rows", l.rows),
+		zap.Int("changes", l.changes), zap.Int("logRows", logRows),
 		zap.Duration("longest", l.longest), zap.Duration("queued", l.queued), zap.Duration("oldest", l.oldestJob),
 		zap.Int("new", batch.NewJobs), zap.Int("left", batch.Left),
 		zap.Int("ended", batch.Ended), zap.Int("leftEnded", batch.LeftEnded), zap.Int("unacknowledged", batch.Unacknowledged))
--- a/internal/serve/router/heartbeat.go
+++ b/internal/serve/router/heartbeat.go
@@ -87,7 +87,8 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	q := peer.HeartbeatRequest{From: r.name, Address: r.candidacy.Address, Term: leader.Term, Echo: echo,
-		EchoTerm: echoTerm, Zone: r.candidacy.Zone, Relays: r.candidacy.Relays}
+		EchoTerm: echoTerm, Zone: r.candidacy.Zone, Relays: r.candidacy.Relays,
+		ReadsRowLog: true}
 	if r.candidacy.ElectionDelay != nil {
 		q.ElectionDelay = r.candidacy.ElectionDelay()
 	}
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -99,6 +99,8 @@
 	// Zone is the peer's availability zone, Relays whether it takes the leader's orders for workers.
 	Zone   string `json:"zone,omitempty"`
 	Relays bool   `json:"relays,omitempty"`
+	// ReadsRowLog means that the peer reads log rows (state/rowlog) when it takes over.
+	ReadsRowLog bool `json:"rowlog,omitempty"`
 }
 
 // HeartbeatReply states whether the called instance is the leader, the time since the store last confirmed its
