hedge, elect, leader: Copies of transactions and reads without a reply

Callers saw: jobs that waited for a second and more while the store lost replies, and seconds without a leader. Cause: a transaction without a reply was given up after 0.9 s; two in a row cost leadership (1.5 s), and each takeover of thousands of jobs another second. Change: a further copy of a transaction or a read is sent when its reply is later than twice the slowest recent one, up to six, as many as replies in time allow (plat/hedge). Copies of a transaction do no harm, since each demands the record's version.

--- a/internal/lab/fakes/table.go
+++ b/internal/lab/fakes/table.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -100,6 +101,9 @@
 	// those that take effect LateBy after the caller received an unknown outcome; if LateBy is 0, Late has no effect.
 	Lose, Drop, Late int
 	LateBy           time.Duration
+	// LoseShare is the share of commits that take effect without a reply, of which the caller learns after Timeout.
+	LoseShare float64
+	Timeout   time.Duration
 }
 
 // Link is one client's connection to a Table; it implements table.Table.
@@ -107,10 +111,11 @@
 	table  *Table
 	mu     sync.Mutex
 	faults Faults
+	random *rand.Rand
 }
 
 // Link returns a new connection without faults.
-func (t *Table) Link() *Link { return &Link{table: t} }
+func (t *Table) Link() *Link { return &Link{table: t, random: rand.New(rand.NewPCG(1, 2))} }
 
 // SetTable connects the link to another table, as after a restore of the store from an old copy.
 func (l *Link) SetTable(t *Table) {
@@ -168,7 +173,12 @@
 		time.AfterFunc(late, func() { _, _ = l.currentTable().commit(x) })
 		return 0, table.ErrUnknown
 	}
+	silence := l.takeSilence()
 	version, err := l.currentTable().commit(x)
+	if silence > 0 {
+		sleep(ctx, silence)
+		return 0, table.ErrUnknown
+	}
 	if lose || !sleep(ctx, delay) {
 		return 0, table.ErrUnknown
 	}
@@ -191,6 +201,16 @@
 	return f.Delay - f.Delay/2, nil
 }
 
+// takeSilence returns how long the caller of a commit whose reply is lost waits, 0 if it is not.
+func (l *Link) takeSilence() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.LoseShare > 0 && l.random.Float64() < l.faults.LoseShare {
+		return l.faults.Timeout
+	}
+	return 0
+}
+
 func (l *Link) takeCommitFault() (lose, drop bool, late time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/plat/hedge/hedge.go
@@ -0,0 +1,127 @@
+// Package hedge sends further copies of calls that get no reply in the usual time, while the earlier copies are outstanding. It
+// is for calls of which copies do no harm, to a service that loses replies.
+package hedge
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// maxCopies is the largest number of copies of one call.
+	maxCopies = 6
+	// usualFactor is how long a call may take before the next copy is sent, as a multiple of the slowest recent reply; minDelay
+	// and maxDelay bound that time.
+	usualFactor = 2
+	minDelay    = 60 * time.Millisecond
+	maxDelay    = 700 * time.Millisecond
+	// halfLife is the time in which a slow reply counts half.
+	halfLife = 2 * time.Second
+	// copyShare is the number of further copies that each reply allows which came before a second copy was due, and maxSaved
+	// the largest number that may be saved up: a service that has become slow for all calls gets few copies.
+	copyShare = 1
+	maxSaved  = 16
+)
+
+// Pacer knows how long replies of a service usually take and how many copies may be sent. It is safe for concurrent use.
+type Pacer struct {
+	mu sync.Mutex
+	// slowest is the slowest recent reply, which counts less the older it is.
+	slowest time.Duration
+	at      time.Time
+	saved   float64
+}
+
+// NewPacer returns a pacer that knows no replies yet.
+func NewPacer() *Pacer {
+	return &Pacer{saved: maxSaved, slowest: maxDelay / usualFactor, at: time.Now()}
+}
+
+// delay returns the time after which the next copy of a call is due.
+func (p *Pacer) delay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(usualFactor*p.recent(time.Now()), minDelay), maxDelay)
+}
+
+// recent returns the slowest recent reply; mu must be held.
+func (p *Pacer) recent(now time.Time) time.Duration {
+	return time.Duration(float64(p.slowest) * math.Exp2(-float64(now.Sub(p.at))/float64(halfLife)))
+}
+
+// observe records the reply to a copy, and whether it came before a second one was due.
+func (p *Pacer) observe(took time.Duration, inTime bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if took >= p.recent(now) {
+		p.slowest, p.at = took, now
+	}
+	if inTime {
+		p.saved = min(p.saved+copyShare, maxSaved)
+	}
+}
+
+// allow reports whether a further copy may be sent now, and counts it.
+func (p *Pacer) allow() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.saved < 1 {
+		return false
+	}
+	p.saved--
+	return true
+}
+
+// reply is the reply to one copy.
+type reply[A any] struct {
+	value A
+	err   error
+	took  time.Duration
+}
+
+// Do makes a call and returns the first conclusive reply to any copy of it, after which it cancels the other copies. An error is
+// conclusive if isConclusive says so. Without a conclusive reply it returns the error of the copy that failed first.
+func Do[A any](ctx context.Context, p *Pacer, isConclusive func(error) bool, call func(context.Context) (A, error)) (A, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan reply[A], maxCopies)
+	send := func() {
+		sent := time.Now()
+		go func() {
+			value, err := call(ctx)
+			replies <- reply[A]{value, err, time.Since(sent)}
+		}()
+	}
+	send()
+	copies, outstanding, inTime := 1, 1, true
+	timer := time.NewTimer(p.delay())
+	defer timer.Stop()
+	var failed error
+	for {
+		select {
+		case r := <-replies:
+			outstanding--
+			if r.err == nil || isConclusive(r.err) {
+				p.observe(r.took, inTime)
+				return r.value, r.err
+			}
+			if failed == nil {
+				failed = r.err
+			}
+			if outstanding == 0 {
+				return r.value, failed
+			}
+		case <-timer.C:
+			inTime = false
+			if copies < maxCopies && p.allow() {
+				send()
+				copies++
+				outstanding++
+				timer.Reset(p.delay())
+			}
+		}
+	}
+}
--- a/internal/serve/leader/surge_test.go
+++ b/internal/serve/leader/surge_test.go
@@ -82,3 +82,32 @@
 		}
 	})
 }
+
+// Load pattern: a third of the store's replies are lost for ten seconds; a call without a reply is given up after 0.9 s. Guards
+// against jobs that wait for that time, and against a leader that loses leadership because several replies in a row are lost.
+func TestLostRepliesOfStore(t *testing.T) {
+	testClusterWith(t, func(*leader.Options) {}, func(c *cluster) {
+		former := c.leader()
+		for _, e := range c.entries {
+			e.link.SetFaults(fakes.Faults{Delay: 10 * time.Millisecond, LoseShare: 0.35, Timeout: 900 * time.Millisecond})
+		}
+		var longest time.Duration
+		for i := range 50 {
+			began := time.Now()
+			if !c.accepts(1<<24+i, callerDeadline) {
+				t.Errorf("job %d not accepted", i)
+			}
+			longest = max(longest, time.Since(began))
+			time.Sleep(200 * time.Millisecond)
+		}
+		if longest > time.Second {
+			t.Errorf("a job waited for %v", longest)
+		}
+		if r, ok := c.entries[0].elector.Load().Leader(); !ok || r.Name != former.name || r.Term != 1 {
+			t.Errorf("leader record %+v, at first %s led", r, former.name)
+		}
+		for _, e := range c.entries {
+			e.link.SetFaults(fakes.Faults{})
+		}
+	})
+}
--- a/internal/state/elect/leadership.go
+++ b/internal/state/elect/leadership.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yuccahaven/yuccahaven/internal/plat/hedge"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 )
 
@@ -52,6 +53,7 @@
 	// storedLogged is the value of Logged in the last confirmed record.
 	storedLogged atomic.Bool
 	epoch        time.Time
+	pacer        *hedge.Pacer
 }
 
 // Acquire acquires leadership if the leader record is still at the version of the last read; the zero Item means that
@@ -66,7 +68,7 @@
 		}
 		term, logged = old.Term, old.Logged
 	}
-	l := &Leadership{store: store, epoch: time.Now(), term: term + 1, writing: make(chan struct{}, 1),
+	l := &Leadership{store: store, epoch: time.Now(), pacer: hedge.NewPacer(), term: term + 1, writing: make(chan struct{}, 1),
 		record:  LeaderRecord{Name: self.Name, Boot: self.Boot, Address: self.Address, Term: term + 1, Logged: logged},
 		version: last.Version, formerLogged: logged}
 	l.logged.Store(logged)
@@ -191,7 +193,10 @@
 			return ErrLost
 		}
 		sent := time.Now()
-		version, err := l.store.Commit(ctx, x)
+		// Copies of a transaction do no harm: the first one that takes effect changes the record's version.
+		version, err := hedge.Do(ctx, l.pacer, isConclusive, func(ctx context.Context) (uint64, error) {
+			return l.store.Commit(ctx, x)
+		})
 		if errors.Is(err, table.ErrConflict) {
 			version, err = l.resolve(ctx, next)
 		}
@@ -206,7 +211,7 @@
 		if errors.Is(err, table.ErrUnavailable) {
 			l.refusedSince.CompareAndSwap(0, max(1, int64(time.Since(l.epoch))))
 		}
-		if !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrUnknown) {
+		if isConclusive(err) {
 			return err
 		}
 		if err := sleepJittered(ctx, backoff); err != nil {
@@ -219,7 +224,9 @@
 // resolve finds out after a conflict whether an earlier attempt of the same transaction took effect: it returns the
 // record's version if so, ErrLost if not, and another error if reading the record fails.
 func (l *Leadership) resolve(ctx context.Context, next LeaderRecord) (uint64, error) {
-	items, err := l.store.Get(ctx, LeaderKey)
+	items, err := hedge.Do(ctx, l.pacer, isConclusive, func(ctx context.Context) ([]table.Item, error) {
+		return l.store.Get(ctx, LeaderKey)
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -233,6 +240,11 @@
 	return 0, ErrLost
 }
 
+// isConclusive reports whether an error of the store says that a transaction has not taken effect and never will.
+func isConclusive(err error) bool {
+	return !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrUnknown)
+}
+
 // sleepJittered sleeps between half of a duration and the whole of it, so that instances don't retry in step.
 func sleepJittered(ctx context.Context, longest time.Duration) error {
 	timer := time.NewTimer(longest/2 + rand.N(longest/2+1))
