intake, leader, router: A leader takes on what it can store and start, and says at once what it does not

Cause: nothing related what the leader accepted to what it can do; instances gave a submission up after 0.8 s, closed the connection and sent it again; jobs whose callers had left were stored and run before others. Change: while the process begins late what is due, a new job is refused at once if its tasks would start later than half of the time that it has, customers beyond their weighted share first, with a Retry-After from the rate of starts (sched/intake); instances repeat a refusal for 0.4 s by themselves. The leader replies that a request is pending before its instance gives it up, and the same request then waits on. A job that no transaction has held when its caller's deadline comes is withdrawn: 503 and not run instead of 504. One that nobody has waited for in a second is not stored.

--- a/internal/model/reject/reject.go
+++ b/internal/model/reject/reject.go
@@ -30,6 +30,7 @@
 	KindBody        Kind = "body"        // body over the limit
 	KindImpossible  Kind = "impossible"  // no worker of the pool can ever run the job
 	KindFull        Kind = "full"        // the queue or the memory for request bodies is full
+	KindOverload    Kind = "overload"    // more work is submitted than can be started or stored in time
 	KindDeadline    Kind = "deadline"    // the deadline can't be met or has passed
 	KindCancelled   Kind = "cancelled"   // the caller cancelled the task
 	KindStale       Kind = "stale"       // the instance can't prove that its view is current
@@ -107,6 +108,7 @@
 	KindBody:        http.StatusRequestEntityTooLarge,
 	KindImpossible:  http.StatusUnprocessableEntity,
 	KindFull:        http.StatusTooManyRequests,
+	KindOverload:    http.StatusServiceUnavailable,
 	KindDeadline:    http.StatusGatewayTimeout,
 	KindCancelled:   http.StatusConflict,
 	KindStale:       http.StatusServiceUnavailable,
--- a/internal/model/speed/speed.go
+++ b/internal/model/speed/speed.go
@@ -26,6 +26,8 @@
 	// slowFactor is the slowdown from which the process counts as slow, usualFactor that below which it no longer does.
 	// Load and the processor's clock alone change the time of a probe by half.
 	slowFactor, usualFactor = 3, 2
+	// delayGain is the weight of the last probe in the average delay.
+	delayGain = 0.2
 	// sampleSize is the number of values in the sample of the delays.
 	sampleSize = 256
 )
@@ -50,8 +52,10 @@
 
 	// slowdown is that of a slow process as the bits of a float64, 0 while the process is not slow.
 	slowdown atomic.Uint64
-	gauge    metrics.GaugeFloat64
-	delay    metrics.Histogram
+	// averageDelay is how late probes begin on average, in nanoseconds.
+	averageDelay atomic.Int64
+	gauge        metrics.GaugeFloat64
+	delay        metrics.Histogram
 }
 
 // NewMonitor returns a monitor that publishes its measurements in a registry, as process_slowdown and
@@ -65,6 +69,10 @@
 // Slowdown returns how many times slower than at its best the process runs if it is slow, else 1.
 func (m *Monitor) Slowdown() float64 { return max(1, math.Float64frombits(m.slowdown.Load())) }
 
+// Delay returns how late the process has begun what was due, on average over the last second or so. It is milliseconds at most
+// unless the process has more work than it gets processor time for.
+func (m *Monitor) Delay() time.Duration { return time.Duration(m.averageDelay.Load()) }
+
 // Run measures until the context ends.
 func (m *Monitor) Run(ctx context.Context) {
 	m.dueAt = time.Now().Add(probeInterval)
@@ -83,6 +91,8 @@
 // observe evaluates a probe.
 func (m *Monitor) observe(p probe) {
 	m.delay.Update(p.late.Milliseconds())
+	average := m.averageDelay.Load()
+	m.averageDelay.Store(average + int64(delayGain*float64(int64(p.late)-average)))
 	m.recent = append(m.recent, p)
 	if len(m.recent) < probeCount {
 		return
--- a/internal/model/speed/speed_test.go
+++ b/internal/model/speed/speed_test.go
@@ -24,7 +24,7 @@
 			for range count {
 				m.observe(probe{duration(t, took), duration(t, late)})
 			}
-			return fmt.Sprintf("slowdown %.1f\n", m.Slowdown())
+			return fmt.Sprintf("slowdown %.1f, delay %v\n", m.Slowdown(), m.Delay().Round(time.Millisecond))
 		})
 	})
 }
--- a/internal/sched/engine/customer.go
+++ b/internal/sched/engine/customer.go
@@ -21,6 +21,11 @@
 	return c
 }
 
+// Weight returns a customer's weight in the current config.
+func (sc *Scheduler) Weight(customer string) float64 {
+	return max(sc.config.Customers[customer].Weight, minWeight)
+}
+
 // finiteRun is what the ranking of steps needs of a run of a finite task.
 type finiteRun struct {
 	run *run
--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -98,13 +98,19 @@
 // recordArrival adds the estimated work of all rounds of a submitted job to its pool's arrived work. Best-effort tasks
 // don't count, nor do long-running ones, whose estimate is 0.
 func (sc *Scheduler) recordArrival(j *job) {
+	j.arrival = sc.arrivalOf(j)
+	sc.arrived[j.settings.Pool] += j.arrival
+}
+
+// arrivalOf returns the estimated work of all rounds of a job, in core-milliseconds.
+func (sc *Scheduler) arrivalOf(j *job) float64 {
 	total := 0.0
 	for _, s := range j.Steps {
 		if !s.BestEffort {
 			total += float64(s.Need.CPU*int64(s.Count)) * sc.estimate(j.Queue, s).Seconds()
 		}
 	}
-	sc.arrived[j.settings.Pool] += total * float64(j.Rounds())
+	return total * float64(j.Rounds())
 }
 
 // WorkerUsage is what runs on a worker.
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -19,6 +19,10 @@
 	storedState work.State
 	// stored means that the store has the job, so that it may run and be reported to callers.
 	stored bool
+	// batched means that a batch has held the job, so that the store may have it.
+	batched bool
+	// arrival is the estimated work of the job when it was submitted, in core-milliseconds.
+	arrival float64
 	// restored means that the job was loaded from the store, so that a former leader may have started tasks of it.
 	restored bool
 	// started means that a task of the job is known to have had a run.
--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -89,6 +89,13 @@
 	incarnations map[work.WorkerID]int64
 }
 
+// Jobs calls a function for each job that the batch holds.
+func (c Batch) Jobs(f func(work.JobID)) {
+	for id := range c.jobVersions {
+		f(id)
+	}
+}
+
 // Size returns the size of the rows in bytes.
 func (c Batch) Size() int {
 	n := 0
@@ -153,6 +160,7 @@
 			if err := sc.encodeJob(j, add, &c); err != nil {
 				return err
 			}
+			j.batched = true
 			c.jobVersions[j.ID] = j.version
 			c.jobStates[j.ID] = j.state
 		}
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -85,6 +85,7 @@
 	h := &Host{Options: o, speed: speed.NewMonitor(o.Registry, o.Log)}
 	o.Leader.ElectionDelay = h.currentElectionDelay
 	o.Leader.Cores = h.usage.cores
+	o.Leader.Delay = h.speed.Delay
 	h.leader = leader.New(o.Leader)
 	return h
 }
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -44,6 +44,7 @@
 	var commands []engine.Command
 	if !s.steppingDown {
 		commands = s.scheduler.Commands()
+		s.startRate.add(starts(commands))
 	}
 	delays := s.scheduler.TakeStartDelays()
 	s.mu.Unlock()
@@ -64,6 +65,17 @@
 	wake(s.renewalWake)
 }
 
+// starts returns the number of starts among commands.
+func starts(commands []engine.Command) int {
+	n := 0
+	for _, c := range commands {
+		if _, ok := c.(engine.Start); ok {
+			n++
+		}
+	}
+	return n
+}
+
 // authorize requests tickets for one step from the authorizer. The authorizer handles one call of an instance at a time
 // and queues only a few, so the requests queue here.
 func (s *session) authorize(ctx context.Context, r engine.TicketRequest) {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -68,6 +68,8 @@
 	Assign    assign.Options
 	// Cores returns the processor time that this process used in the last second, in cores; nil if that is not known.
 	Cores func() float64
+	// Delay returns how late this process begins what is due, on average; nil means that it never is late.
+	Delay func() time.Duration
 	// Registry may be nil; then the Service creates one.
 	Registry metrics.Registry
 	Log      *zap.Logger
@@ -193,7 +195,7 @@
 	}
 	return guard(ss, peer.JobReply{Result: peer.Unknown}, func() peer.JobReply {
 		if q.Cancel {
-			return ss.answer(kindCancel, func() peer.JobReply { return ss.cancel(ctx, q.ID) })
+			return ss.answer(kindCancel, func() peer.JobReply { return ss.cancel(ctx, q) })
 		}
 		return ss.answer(kindState, func() peer.JobReply { return ss.state(q.ID) })
 	})
--- /dev/null
+++ b/internal/serve/leader/overload_test.go
@@ -0,0 +1,133 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+// submitOnce submits a job as an instance does whose caller waits for callerDeadline: while the request is pending it is sent
+// again.
+func submitOnce(e *entry, j work.Job) peer.JobReply {
+	const wait = 600 * time.Millisecond
+	for began := time.Now(); ; {
+		left := callerDeadline - time.Since(began)
+		reply := e.service.Load().Submit(context.Background(), peer.SubmitRequest{Job: j, Version: 1, Wait: min(wait, left),
+			Deadline: left})
+		if !reply.Pending || callerDeadline-time.Since(began) < 50*time.Millisecond {
+			return reply
+		}
+	}
+}
+
+func smallJob(id int) work.Job {
+	return work.Job{ID: work.JobID(fmt.Sprintf("%016x", id)), Queue: "q", Customer: "c", Accepted: time.Now().UnixMilli(),
+		Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 10}}}}
+}
+
+// Guards against callers who are told that it is not known whether their job runs, so that they can't try again, although no
+// transaction has held it; and against a job that runs after its caller was told that it does not.
+func TestJobIsWithdrawnWhileStoreIsAway(t *testing.T) {
+	testClusterWith(t, func(*leader.Options) {}, func(c *cluster) {
+		e := c.leader()
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{Delay: 6 * time.Second})
+		}
+		first := make(chan peer.JobReply)
+		go func() { first <- submitOnce(e, smallJob(1)) }()
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		second := submitOnce(e, smallJob(2))
+		if second.Result != peer.Overloaded || second.RetryAfter < time.Second || time.Since(began) > callerDeadline {
+			t.Errorf("the job that waits for the store's return is answered %+v after %v", second, time.Since(began))
+		}
+		if reply := <-first; reply.Result != peer.Unknown {
+			t.Errorf("the job in the transaction is answered %+v", reply)
+		}
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{})
+		}
+		time.Sleep(20 * time.Second)
+		if s := c.state(smallJob(1).ID); s != work.Completed {
+			t.Errorf("the job in the transaction is %q", s)
+		}
+		if s := c.state(smallJob(2).ID); s != "" {
+			t.Errorf("the withdrawn job is %q", s)
+		}
+	})
+}
+
+// Guards against a job that is stored for nobody: its caller has left, and the store was away until then.
+func TestAbandonedJobIsNotStored(t *testing.T) {
+	testClusterWith(t, func(*leader.Options) {}, func(c *cluster) {
+		e := c.leader()
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{Delay: 6 * time.Second})
+		}
+		go submitOnce(e, smallJob(1))
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		e.service.Load().Submit(ctx, peer.SubmitRequest{Job: smallJob(2), Version: 1, Wait: time.Second, Deadline: callerDeadline})
+		time.Sleep(3 * time.Second)
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{})
+		}
+		time.Sleep(20 * time.Second)
+		if s := c.state(smallJob(2).ID); s != "" {
+			t.Errorf("the abandoned job is %q", s)
+		}
+	})
+}
+
+// Load pattern: a queue's turn brings more tasks than a leader can start that is short of processor time. Guards against jobs
+// that are accepted and have no result in time, against callers who learn late that theirs is not, and against a leader that
+// goes on refusing when the turn is over.
+func TestSurplusIsRefusedAtOnce(t *testing.T) {
+	delay := 30 * time.Millisecond
+	testClusterWith(t, func(o *leader.Options) { o.Delay = func() time.Duration { return delay } }, func(c *cluster) {
+		e := c.leader()
+		const jobs, tasks = 400, 10
+		submit := func(id int) peer.JobReply {
+			j := smallJob(id)
+			// The pool has room for 16 tasks at a time.
+			j.Steps = []work.Step{{Count: tasks, Need: work.Need{CPU: 1000}, Estimate: 100 * time.Millisecond}}
+			return submitOnce(e, j)
+		}
+		accepted := 0
+		var longest time.Duration
+		for i := range jobs {
+			began := time.Now()
+			reply := submit(1<<16 + i)
+			switch reply.Result {
+			case peer.Accepted:
+				accepted++
+			case peer.Overloaded:
+				longest = max(longest, time.Since(began))
+				if reply.RetryAfter < time.Second {
+					t.Errorf("retry after %v", reply.RetryAfter)
+				}
+			default:
+				t.Errorf("reply %+v", reply)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if accepted < jobs/20 || accepted > jobs/2 {
+			t.Errorf("%d of %d jobs accepted", accepted, jobs)
+		}
+		if longest > 100*time.Millisecond {
+			t.Errorf("a refusal took %v", longest)
+		}
+		delay = 0
+		time.Sleep(time.Second)
+		if reply := submit(1 << 20); reply.Result != peer.Accepted {
+			t.Errorf("reply %+v after the surge", reply)
+		}
+	})
+}
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -14,10 +14,10 @@
 	"github.com/yuccahaven/yuccahaven/internal/plan/assign"
 	"github.com/yuccahaven/yuccahaven/internal/plan/shift"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/sched/intake"
 	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/state/rowlog"
-	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
 const (
@@ -48,10 +48,13 @@
 	leadership *elect.Leadership
 	log        *zap.Logger
 
-	// mu guards scheduler, renewals, committed, steppingDown, handingOver, machineCalls, waves, changedWaves and
+	// mu guards scheduler, intake, startRate, awaited, renewals, committed, steppingDown, handingOver, machineCalls, waves, changedWaves and
 	// operations.
 	mu        sync.Mutex
 	scheduler *engine.Scheduler
+	intake    *intake.Controller
+	startRate startRate
+	awaited   awaitedJobs
 	renewals  renewalQueue
 	// committed is closed and replaced after each successful commit, also one without a transaction.
 	committed chan struct{}
@@ -94,13 +97,15 @@
 }
 
 func newSession(s *Service, l *elect.Leadership, rows *rowlog.Log) *session {
+	scheduler := engine.New(s.Options.Scheduler, l.Term(), s.Log)
 	return &session{
-		service: s, leadership: l, log: s.Log, scheduler: engine.New(s.Options.Scheduler, l.Term(), s.Log),
+		service: s, leadership: l, log: s.Log, scheduler: scheduler, intake: intake.NewController(scheduler.Weight),
+		awaited:  awaitedJobs{},
 		renewals: newRenewalQueue(), committed: make(chan struct{}),
 		waves: map[int64]*waveState{}, changedWaves: map[int64]bool{},
 		operations: newOperationLog(s.Clock, s.Moves.TakeoverPause+operationTTL, s.Log),
 		planWake:   make(chan struct{}, 1), commitWake: make(chan struct{}, 1), renewalWake: make(chan struct{}, 1),
-		results: resultQueue{wake: make(chan struct{}, 1)}, done: make(chan struct{}), transactions: txLog{log: s.Log},
+		results: resultQueue{wake: make(chan struct{}, 1)}, done: make(chan struct{}), transactions: txLog{log: s.Log, last: new(atomic.Int64)},
 		requests: newRequestLog(), rows: rows,
 	}
 }
@@ -204,6 +209,8 @@
 		s.mu.Lock()
 		s.scheduler.ConfirmLeadership(time.Now().Add(-s.leadership.SinceConfirmed()))
 		s.scheduler.Tick()
+		s.observeLoad()
+		s.withdrawAbandoned()
 		s.mu.Unlock()
 		if has := s.hasAuthority(); has != had {
 			had = has
@@ -286,6 +293,7 @@
 	}
 	s.mu.Lock()
 	s.scheduler.HandleCommit(batch)
+	batch.Jobs(s.awaited.stored)
 	s.operations.confirm()
 	close(s.committed)
 	s.committed = make(chan struct{})
@@ -302,12 +310,6 @@
 	f()
 }
 
-// awaitWritten waits until the store holds a version of a job; it returns false if the session or the context ends
-// first.
-func (s *session) awaitWritten(ctx context.Context, id work.JobID, version int) bool {
-	return s.awaitCommit(ctx, func() bool { return s.scheduler.IsStored(id, version) })
-}
-
 // awaitCommit waits for a commit after which a condition holds, which is checked with mu held; it returns false if the
 // session or the context ends first.
 func (s *session) awaitCommit(ctx context.Context, isStored func() bool) bool {
@@ -328,94 +330,6 @@
 	}
 }
 
-func (s *session) submit(ctx context.Context, q peer.SubmitRequest) peer.JobReply {
-	j := q.Job
-	var version int
-	var err error
-	var leaving, behind, machinesUnknown bool
-	s.locked(func() {
-		if leaving = s.steppingDown || s.leadership.Lost(); leaving {
-			return
-		}
-		if s.scheduler.Has(j.ID) {
-			s.requests.again()
-		}
-		version, err = s.scheduler.Submit(j)
-		behind = s.scheduler.Version() < q.Version
-		machinesUnknown = s.service.Machines != nil && !s.scheduler.KnowsMachines()
-	})
-	if leaving {
-		return peer.JobReply{Result: peer.NotLeader}
-	}
-	noWorkerFits := (*engine.NoWorkerFitsError)(nil)
-	switch {
-	case errors.Is(err, engine.ErrUnknownQueue) && behind:
-		// The requesting instance has a newer config, which may contain the queue.
-		return peer.JobReply{Result: peer.NotLeader}
-	case errors.Is(err, engine.ErrUnknownQueue):
-		return peer.JobReply{Result: peer.NoQueue}
-	case errors.As(err, &noWorkerFits) && machinesUnknown:
-		// The workers may be smaller than usual.
-		return peer.JobReply{Result: peer.NotLeader}
-	case err != nil:
-		s.log.Info("leader: job rejected as impossible", zap.String("job", string(j.ID)), zap.Error(err))
-		return peer.JobReply{Result: peer.Impossible}
-	}
-	wake(s.commitWake)
-	if !s.awaitWritten(ctx, j.ID, version) {
-		s.log.Warn("leader: store did not confirm a job in time, outcome unknown", zap.String("job", string(j.ID)),
-			zap.Duration("age", s.leadership.SinceConfirmed()))
-		return peer.JobReply{Result: peer.Unknown}
-	}
-	wake(s.planWake)
-	s.log.Info("leader: job accepted", zap.String("job", string(j.ID)), zap.String("queue", j.Queue),
-		zap.String("customer", j.Customer), zap.Int("steps", len(j.Steps)))
-	return peer.JobReply{Result: peer.Accepted}
-}
-
-func (s *session) cancel(ctx context.Context, id work.JobID) peer.JobReply {
-	began := time.Now()
-	var queue string
-	var version int
-	var err error
-	s.locked(func() {
-		if _, queue, err = s.scheduler.State(id); err == nil {
-			version, err = s.scheduler.Cancel(id)
-		}
-	})
-	if err != nil {
-		return s.notFound()
-	}
-	s.wakeLoops()
-	if !s.awaitWritten(ctx, id, version) {
-		s.log.Warn("leader: store did not confirm a cancellation in time, outcome unknown", zap.String("job", string(id)),
-			zap.Duration("took", time.Since(began)), zap.Duration("age", s.leadership.SinceConfirmed()))
-		return peer.JobReply{Result: peer.Unknown}
-	}
-	s.log.Info("leader: cancellation stored", zap.String("job", string(id)), zap.Duration("took", time.Since(began)),
-		zap.Uint64("version", s.storedVersion.Load()))
-	return peer.JobReply{Result: peer.Accepted, State: work.Cancelled, Queue: queue}
-}
-
-func (s *session) state(id work.JobID) peer.JobReply {
-	var state work.State
-	var queue string
-	var err error
-	s.locked(func() { state, queue, err = s.scheduler.State(id) })
-	if err != nil {
-		return s.notFound()
-	}
-	return peer.JobReply{Result: peer.Accepted, State: state, Queue: queue}
-}
-
-// notFound replies that a job is unknown, or that this process is not the leader if a later leader may know the job.
-func (s *session) notFound() peer.JobReply {
-	if s.leadership.Lost() || s.leadership.SinceConfirmed() >= authorityMaxAge {
-		return peer.JobReply{Result: peer.NotLeader}
-	}
-	return peer.JobReply{Result: peer.NotFound}
-}
-
 // stepDown stops accepting jobs and sending commands, and releases leadership.
 func (s *session) stepDown(ctx context.Context) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/serve/leader/submit.go
@@ -0,0 +1,248 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/yuccahaven/yuccahaven/internal/model/work"
+	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/sched/intake"
+	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
+)
+
+const (
+	// abandonedAfter is how long a job that is not in a transaction yet is kept after the last request that waited for it. An
+	// instance asks again at once for a job that is pending.
+	abandonedAfter = time.Second
+	// lastWait is the least time that a caller must have left for its instance to ask again.
+	lastWait = 150 * time.Millisecond
+)
+
+// awaitedJob is a job that requests wait to be stored.
+type awaitedJob struct {
+	requests int
+	// left is when the last request stopped waiting.
+	left time.Time
+	// changed is closed and replaced when the store has a newer version of the job.
+	changed chan struct{}
+}
+
+// awaitedJobs are the jobs that requests wait, or have waited, to be stored.
+type awaitedJobs map[work.JobID]*awaitedJob
+
+// join records that a request waits for a job and returns the channel that is closed at its next change in the store.
+func (a *awaitedJobs) join(id work.JobID) chan struct{} {
+	w, ok := (*a)[id]
+	if !ok {
+		if *a == nil {
+			*a = awaitedJobs{}
+		}
+		w = &awaitedJob{changed: make(chan struct{})}
+		(*a)[id] = w
+	}
+	w.requests++
+	return w.changed
+}
+
+// leave records that a request no longer waits for a job.
+func (a awaitedJobs) leave(id work.JobID) {
+	if w, ok := a[id]; ok {
+		w.requests--
+		w.left = time.Now()
+	}
+}
+
+// stored wakes the requests that wait for a job.
+func (a awaitedJobs) stored(id work.JobID) {
+	w, ok := a[id]
+	if !ok {
+		return
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+	if w.requests == 0 {
+		delete(a, id)
+	}
+}
+
+// withdrawAbandoned withdraws the jobs that no request has waited for lately and that no transaction has held; s.mu must be
+// held.
+func (s *session) withdrawAbandoned() {
+	for id, w := range s.awaited {
+		if w.requests > 0 || time.Since(w.left) < abandonedAfter {
+			continue
+		}
+		delete(s.awaited, id)
+		if s.scheduler.Withdraw(id) {
+			s.log.Info("leader: nobody waits for a submitted job any more, not storing it", zap.String("job", string(id)))
+		}
+	}
+}
+
+// awaitWritten waits until the store holds a version of a job; it returns false if the session or the context ends first.
+func (s *session) awaitWritten(ctx context.Context, id work.JobID, version int) bool {
+	for {
+		var stored bool
+		var changed chan struct{}
+		s.locked(func() {
+			if stored = s.scheduler.IsStored(id, version); !stored {
+				changed = s.awaited.join(id)
+			}
+		})
+		if stored {
+			return true
+		}
+		done := false
+		select {
+		case <-changed:
+		case <-s.done:
+			done = true
+		case <-ctx.Done():
+			done = true
+		}
+		s.locked(func() { s.awaited.leave(id) })
+		if done {
+			return false
+		}
+	}
+}
+
+// waitContext returns a context that ends when a request is to be answered as pending; a request without a wait waits as long
+// as its context.
+func waitContext(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	if wait <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, wait)
+}
+
+// pending answers a request that the store has not confirmed in time: it is kept while this process leads.
+func (s *session) pending(ctx context.Context, wait time.Duration) peer.JobReply {
+	return peer.JobReply{Result: peer.Unknown, Pending: wait > 0 && ctx.Err() == nil && !s.leadership.Lost()}
+}
+
+func (s *session) submit(ctx context.Context, q peer.SubmitRequest) peer.JobReply {
+	began := time.Now()
+	j := q.Job
+	var version int
+	var err error
+	var leaving, behind, machinesUnknown bool
+	var verdict intake.Verdict
+	s.locked(func() {
+		if leaving = s.steppingDown || s.leadership.Lost(); leaving {
+			return
+		}
+		if s.scheduler.Has(j.ID) {
+			s.requests.again()
+		} else if verdict = s.decide(q); verdict.Refused {
+			return
+		}
+		version, err = s.scheduler.Submit(j)
+		behind = s.scheduler.Version() < q.Version
+		machinesUnknown = s.service.Machines != nil && !s.scheduler.KnowsMachines()
+	})
+	if leaving {
+		return peer.JobReply{Result: peer.NotLeader}
+	}
+	if verdict.Refused {
+		s.log.Info("leader: job refused, overloaded", zap.String("job", string(j.ID)), zap.String("customer", j.Customer),
+			zap.String("reason", verdict.Reason), zap.Duration("retry", verdict.RetryAfter))
+		return peer.JobReply{Result: peer.Overloaded, RetryAfter: verdict.RetryAfter}
+	}
+	noWorkerFits := (*engine.NoWorkerFitsError)(nil)
+	switch {
+	case errors.Is(err, engine.ErrUnknownQueue) && behind:
+		// The requesting instance has a newer config, which may contain the queue.
+		return peer.JobReply{Result: peer.NotLeader}
+	case errors.Is(err, engine.ErrUnknownQueue):
+		return peer.JobReply{Result: peer.NoQueue}
+	case errors.As(err, &noWorkerFits) && machinesUnknown:
+		// The workers may be smaller than usual.
+		return peer.JobReply{Result: peer.NotLeader}
+	case err != nil:
+		s.log.Info("leader: job rejected as impossible", zap.String("job", string(j.ID)), zap.Error(err))
+		return peer.JobReply{Result: peer.Impossible}
+	}
+	wake(s.commitWake)
+	waiting, cancel := waitContext(ctx, q.Wait)
+	defer cancel()
+	if !s.awaitWritten(waiting, j.ID, version) {
+		return s.unconfirmed(ctx, q, time.Since(began))
+	}
+	wake(s.planWake)
+	s.log.Info("leader: job accepted", zap.String("job", string(j.ID)), zap.String("queue", j.Queue),
+		zap.String("customer", j.Customer), zap.Int("steps", len(j.Steps)))
+	return peer.JobReply{Result: peer.Accepted}
+}
+
+// unconfirmed answers a submission that the store has not confirmed after a time. A caller that has no time to ask again learns
+// that the job does not run, if no transaction has held it and no other request waits for it.
+func (s *session) unconfirmed(ctx context.Context, q peer.SubmitRequest, took time.Duration) peer.JobReply {
+	id := q.Job.ID
+	if q.Deadline > 0 && q.Deadline-took < lastWait && ctx.Err() == nil {
+		withdrawn := false
+		s.locked(func() {
+			if w := s.awaited[id]; w != nil && w.requests == 0 && s.scheduler.Withdraw(id) {
+				delete(s.awaited, id)
+				withdrawn = true
+			}
+		})
+		if withdrawn {
+			s.log.Info("leader: store did not take a job in time, withdrawn", zap.String("job", string(id)),
+				zap.Duration("took", took), zap.Duration("age", s.leadership.SinceConfirmed()))
+			return peer.JobReply{Result: peer.Overloaded, RetryAfter: max(s.leadership.SinceConfirmed(), minRetryAfter)}
+		}
+	}
+	reply := s.pending(ctx, q.Wait)
+	s.log.Warn("leader: store did not confirm a job in time, outcome unknown", zap.String("job", string(id)),
+		zap.Duration("took", took), zap.Duration("age", s.leadership.SinceConfirmed()), zap.Bool("pending", reply.Pending))
+	return reply
+}
+
+func (s *session) cancel(ctx context.Context, q peer.JobRequest) peer.JobReply {
+	began := time.Now()
+	var queue string
+	var version int
+	var err error
+	s.locked(func() {
+		if _, queue, err = s.scheduler.State(q.ID); err == nil {
+			version, err = s.scheduler.Cancel(q.ID)
+		}
+	})
+	if err != nil {
+		return s.notFound()
+	}
+	s.wakeLoops()
+	waiting, cancel := waitContext(ctx, q.Wait)
+	defer cancel()
+	if !s.awaitWritten(waiting, q.ID, version) {
+		s.log.Warn("leader: store did not confirm a cancellation in time, outcome unknown", zap.String("job", string(q.ID)),
+			zap.Duration("took", time.Since(began)), zap.Duration("age", s.leadership.SinceConfirmed()))
+		return s.pending(ctx, q.Wait)
+	}
+	s.log.Info("leader: cancellation stored", zap.String("job", string(q.ID)), zap.Duration("took", time.Since(began)),
+		zap.Uint64("version", s.storedVersion.Load()))
+	return peer.JobReply{Result: peer.Accepted, State: work.Cancelled, Queue: queue}
+}
+
+func (s *session) state(id work.JobID) peer.JobReply {
+	var state work.State
+	var queue string
+	var err error
+	s.locked(func() { state, queue, err = s.scheduler.State(id) })
+	if err != nil {
+		return s.notFound()
+	}
+	return peer.JobReply{Result: peer.Accepted, State: state, Queue: queue}
+}
+
+// notFound replies that a job is unknown, or that this process is not the leader if a later leader may know the job.
+func (s *session) notFound() peer.JobReply {
+	if s.leadership.Lost() || s.leadership.SinceConfirmed() >= authorityMaxAge {
+		return peer.JobReply{Result: peer.NotLeader}
+	}
+	return peer.JobReply{Result: peer.NotFound}
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -21,6 +21,12 @@
 const (
 	// callTimeout bounds one call to the leader; a call over a dead connection takes as long.
 	callTimeout = 800 * time.Millisecond
+	// replyWait is how long the leader may wait for the store before it replies that a request is pending. It is less than
+	// callTimeout, so that the connection stays in use and a silent one can be told from a slow store.
+	replyWait = 600 * time.Millisecond
+	// overloadHold is how long this instance refuses jobs by itself after the leader has refused one of the same queue and
+	// customer.
+	overloadHold = 400 * time.Millisecond
 	// leaderWaitTimeout is how long a request waits for a leader before it is rejected. It is less than a quarter of
 	// the shortest objective that callers have, so that they can retry in time.
 	leaderWaitTimeout = 250 * time.Millisecond
@@ -80,6 +86,8 @@
 	// exitedAt is when the process of the leader of exitedTerm was last found to have exited.
 	exitedAt   time.Time
 	exitedTerm int64
+	// overloads are the leader's refusals of jobs within overloadHold.
+	overloads overloads
 }
 
 // New returns a router of the entry instance with a name.
@@ -211,6 +219,9 @@
 	if a.Access != nil {
 		j.Queue, j.Customer = "", ""
 	}
+	if err := r.overloads.check(j.Queue, j.Customer); err != nil {
+		return err
+	}
 	reply, unknown, err := forwardWithRetry(ctx, r, peer.MethodSubmit,
 		peer.SubmitRequest{Job: j, Version: a.Version, Access: a.Access}, r.local.Submit)
 	switch {
@@ -222,6 +233,8 @@
 		// An earlier attempt may still store the job, whatever the leader's reply to this one.
 		r.log.Warn("router: job refused after an attempt of unknown outcome, replying that its state is unknown",
 			zap.String("job", string(j.ID)), zap.String("verdict", string(reply.Result)))
+	case reply.Result == peer.Overloaded:
+		return r.overloads.add(j.Queue, j.Customer, reply.RetryAfter)
 	case reply.Result == peer.Impossible:
 		return reject.New(reject.KindImpossible, reject.WorkNotRun, "the job can never run")
 	default:
@@ -291,21 +304,40 @@
 type leaderReply interface {
 	peer.Message
 	Outcome() peer.Result
+	IsPending() bool
+}
+
+// timedRequest is a request that says how long the leader and the caller wait.
+type timedRequest[Q any] interface {
+	WithTimes(wait, deadline time.Duration) Q
+}
+
+// withTimes returns a request with the times that are left before the context's deadline, if it has any.
+func withTimes[Q any](ctx context.Context, q Q) Q {
+	t, ok := any(q).(timedRequest[Q])
+	deadline, limited := ctx.Deadline()
+	if !ok || !limited {
+		return q
+	}
+	left := max(time.Until(deadline), time.Millisecond)
+	return t.WithTimes(max(min(replyWait, left-retryBackoff), time.Millisecond), left)
 }
 
 // forwardWithRetry forwards a request to the leader. A request that has not reached a leader within leaderWaitTimeout
 // is rejected as not run; one that may have reached a leader is retried, which is safe, until shortly before the
-// context's deadline. An isolated instance does neither, so that the caller can try another one. It also reports whether an
-// attempt before the answered one had an unknown outcome.
+// context's deadline, and so is one for which the leader waits for the store. An isolated instance does neither, so that the
+// caller can try another one. It also reports whether an attempt before the answered one had an unknown outcome.
 func forwardWithRetry[Q peer.Message, A leaderReply](ctx context.Context, r *Router, m peer.Method[Q, A], q Q,
 	local func(context.Context, Q) A) (A, bool, error) {
 	began := time.Now()
-	unknown := false
+	// pending means that the leader of the last attempt keeps the request.
+	unknown, pending := false, false
 	attempts := 0
 	var lastErr error
 	var none A
 	for {
 		if r.Isolated() {
+			unknown = unknown || pending
 			r.log.Info("router: request not forwarded, neither the leader nor the store can be reached",
 				zap.Any("request", describe(q)), zap.Bool("unknown", unknown), zap.Duration("took", time.Since(began)))
 			if unknown {
@@ -316,10 +348,16 @@
 		}
 		attempts++
 		sent := time.Now()
-		reply, maybeReached, err := forwardOnce(ctx, r, m, q, local)
+		reply, maybeReached, err := forwardOnce(ctx, r, m, withTimes(ctx, q), local)
 		unknown = unknown || maybeReached
 		r.logAttempt(q, attempts, reply, time.Since(sent), time.Since(began), err)
 		switch {
+		case err == nil && reply.IsPending():
+			pending = true
+			if !nearDeadline(ctx) {
+				continue
+			}
+			unknown = true
 		case err == nil && reply.Outcome() == peer.Unknown:
 			unknown = true
 		case err == nil && reply.Outcome() != peer.NotLeader:
@@ -327,6 +365,8 @@
 		case err != nil:
 			lastErr = err
 		}
+		// What the former leader kept may have been stored.
+		unknown, pending = unknown || pending, false
 		if !unknown && (ctx.Err() != nil || time.Since(began) >= leaderWaitTimeout) {
 			r.log.Info("router: request refused, no leader reached in time", zap.Any("request", describe(q)),
 				zap.Error(lastErr))
--- a/internal/serve/router/router_test.go
+++ b/internal/serve/router/router_test.go
@@ -19,22 +19,31 @@
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
-// fakeLeader returns scripted results, one per call; the last one repeats.
+// fakeLeader returns scripted results, one per call; the last one repeats. The result pendingResult is a reply after the time
+// that the request allows.
 type fakeLeader struct{ results []peer.Result }
 
-func (l *fakeLeader) next() peer.JobReply {
+const pendingResult peer.Result = "pending"
+
+func (l *fakeLeader) next(wait time.Duration) peer.JobReply {
 	result := l.results[0]
 	if len(l.results) > 1 {
 		l.results = l.results[1:]
 	}
+	if result == pendingResult {
+		time.Sleep(wait)
+		return peer.JobReply{Result: peer.Unknown, Pending: true}
+	}
 	return peer.JobReply{Result: result, State: work.Running}
 }
 
-func (l *fakeLeader) IsLeader() bool                                           { return true }
-func (l *fakeLeader) HasAuthority() bool                                       { return true }
-func (l *fakeLeader) Submit(context.Context, peer.SubmitRequest) peer.JobReply { return l.next() }
-func (l *fakeLeader) Job(context.Context, peer.JobRequest) peer.JobReply       { return l.next() }
-func (l *fakeLeader) Waiting(peer.WaitingRequest) peer.WaitingReply            { return peer.WaitingReply{} }
+func (l *fakeLeader) IsLeader() bool     { return true }
+func (l *fakeLeader) HasAuthority() bool { return true }
+func (l *fakeLeader) Submit(_ context.Context, q peer.SubmitRequest) peer.JobReply {
+	return l.next(q.Wait)
+}
+func (l *fakeLeader) Job(_ context.Context, q peer.JobRequest) peer.JobReply { return l.next(q.Wait) }
+func (l *fakeLeader) Waiting(peer.WaitingRequest) peer.WaitingReply          { return peer.WaitingReply{} }
 func (l *fakeLeader) HandleHeartbeat(peer.HeartbeatRequest) peer.HeartbeatReply {
 	return peer.HeartbeatReply{}
 }
@@ -156,3 +165,30 @@
 	r.handleHeartbeat(elect.LeaderRecord{Term: 3}, peer.HeartbeatReply{}, nil)
 	check(0, 0)
 }
+
+// Guards against instances that keep an overloaded leader busy with jobs that it refuses, and against other customers or queues
+// that are refused with them.
+func TestOverloadIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &fakeLeader{results: []peer.Result{peer.Overloaded, peer.Accepted}}
+		r := New("e1", nil, l, nil, zap.NewNop())
+		submit := func(customer string) string {
+			ctx, cancel := RequestContext(t.Context(), 0)
+			defer cancel()
+			return outcome(r.Submit(ctx, Admission{}, work.Job{ID: "a", Queue: "q", Customer: customer}))
+		}
+		if o := submit("c"); o != "overload, work not-run" {
+			t.Error(o)
+		}
+		if o := submit("c"); o != "overload, work not-run" {
+			t.Error(o)
+		}
+		if o := submit("d"); o != "ok" {
+			t.Error(o)
+		}
+		time.Sleep(2 * overloadHold)
+		if o := submit("c"); o != "ok" {
+			t.Error(o)
+		}
+	})
+}
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -35,6 +35,9 @@
 	// NotLeader: the called instance is not the leader, or a later leader may know the job, or its config is too old to
 	// decide about the queue. It has done nothing.
 	NotLeader Result = "elsewhere"
+	// Overloaded: the leader has more to do than it can, and does not accept the job. Only a request with a Deadline is answered
+	// so.
+	Overloaded Result = "overload"
 	// Unknown: the outcome is unknown.
 	Unknown Result = "open"
 )
@@ -57,13 +60,18 @@
 	// Version is the version of the config under which the calling instance admitted the job.
 	Version int64   `json:"version"`
 	Access  *Access `json:"access,omitempty"`
+	// Wait is how long the leader may wait for the store before it replies that the request is pending; Deadline is how long
+	// the caller waits. The Deadline is 0 if the calling instance does not know it or knows no Overloaded.
+	Wait     time.Duration `json:"wait,omitempty"`
+	Deadline time.Duration `json:"deadline,omitempty"`
 }
 
-// JobRequest requests the state of a job, or its cancellation.
+// JobRequest requests the state of a job, or its cancellation. Wait is that of a SubmitRequest.
 type JobRequest struct {
-	ID     work.JobID `json:"id"`
-	Cancel bool       `json:"cancel,omitempty"`
-	Access *Access    `json:"access,omitempty"`
+	ID     work.JobID    `json:"id"`
+	Cancel bool          `json:"cancel,omitempty"`
+	Access *Access       `json:"access,omitempty"`
+	Wait   time.Duration `json:"wait,omitempty"`
 }
 
 // JobReply is the result; State and Queue are set only if a JobRequest was accepted.
@@ -71,6 +79,10 @@
 	Result Result     `json:"verdict"`
 	State  work.State `json:"state,omitempty"`
 	Queue  string     `json:"queue,omitempty"`
+	// Pending means, beside Unknown, that the leader keeps the request and waits for the store: the same request sent again
+	// waits on. RetryAfter is when a caller whose job was refused as Overloaded may come back.
+	Pending    bool          `json:"pending,omitempty"`
+	RetryAfter time.Duration `json:"retry,omitempty"`
 }
 
 // WaitingRequest requests the number of waiting jobs of a queue.
@@ -122,7 +134,12 @@
 }
 
 // Validate returns an error for an invalid message.
-func (q SubmitRequest) Validate() error { return q.Job.Validate() }
+func (q SubmitRequest) Validate() error {
+	if q.Wait < 0 || q.Deadline < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("submission with a negative wait or deadline"))
+	}
+	return q.Job.Validate()
+}
 
 // AnnounceRequest announces the leader to an instance.
 type AnnounceRequest struct {
@@ -181,10 +198,20 @@
 func (OfferReply) Validate() error { return nil }
 
 // Validate returns an error for an invalid message.
-func (q JobRequest) Validate() error { return q.ID.Validate() }
+func (q JobRequest) Validate() error {
+	if q.Wait < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("request with a negative wait"))
+	}
+	return q.ID.Validate()
+}
 
 // Validate returns an error for an invalid message.
-func (a JobReply) Validate() error { return a.Result.check() }
+func (a JobReply) Validate() error {
+	if a.RetryAfter < 0 {
+		return errors.Join(ErrInvalidMessage, errors.New("reply with a negative time to come back"))
+	}
+	return a.Result.check()
+}
 
 // Validate returns an error for an invalid message.
 func (q WaitingRequest) Validate() error {
@@ -216,14 +243,32 @@
 
 func (r Result) check() error {
 	switch r {
-	case Accepted, NotFound, Impossible, NoQueue, WrongKey, NotLeader, Unknown:
+	case Accepted, NotFound, Impossible, NoQueue, WrongKey, NotLeader, Overloaded, Unknown:
 		return nil
 	}
 	return errors.Join(ErrInvalidMessage, errors.New("unknown result"))
 }
 
+// WithTimes returns a copy with how long the leader may wait for the store, and how long the caller waits.
+func (q SubmitRequest) WithTimes(wait, deadline time.Duration) SubmitRequest {
+	q.Wait, q.Deadline = wait, deadline
+	return q
+}
+
+// WithTimes returns a copy with how long the leader may wait for the store.
+func (q JobRequest) WithTimes(wait, _ time.Duration) JobRequest {
+	q.Wait = wait
+	return q
+}
+
 // Outcome returns the result of the call.
 func (a JobReply) Outcome() Result { return a.Result }
 
+// IsPending reports whether the leader keeps the request and waits for the store.
+func (a JobReply) IsPending() bool { return a.Result == Unknown && a.Pending }
+
 // Outcome returns the result of the call.
 func (a WaitingReply) Outcome() Result { return a.Result }
+
+// IsPending reports false: the store does not have to confirm a count.
+func (a WaitingReply) IsPending() bool { return false }
