engine: Under overload jobs that can be in time go before those that can hardly be

Callers saw: late results for most jobs of a queue's turn although the pool had machines for two in three of them. Cause: jobs that could still be in time were ranked by their latest start, so that under overload each was started at the last moment and ended just too late; jobs that nobody waits for any more took the places of late ones. Change: a job that has not started counts as late some time before its latest start, by how much longer its queue's jobs take than estimated (mean and deviation, as retransmission time-outs are computed), and expired jobs go last.

--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -64,8 +64,9 @@
 	pools      map[string]*pool
 	// customers are those with jobs in this term, by name.
 	customers map[string]*customer
-	// runTimes are the models of the queues, by name.
+	// runTimes and overruns are the models of the queues, by name.
 	runTimes map[string]*runTimeModel
+	overruns map[string]*overrunModel
 	// dirty are the jobs of which the store does not hold the newest version.
 	dirty map[work.JobID]*job
 	// arrived is the estimated work of the jobs submitted in this term, by pool, see Demand.Arrived.
@@ -147,7 +148,7 @@
 		options: o, log: log, term: term, config: work.NewConfig(work.Config{}), evacuated: map[string]bool{},
 		jobs: map[work.JobID]*job{}, unfinished: map[work.JobID]*job{}, workers: map[work.WorkerID]*worker{},
 		index: newWorkerIndex(), pools: map[string]*pool{},
-		customers: map[string]*customer{}, runTimes: map[string]*runTimeModel{}, dirty: map[work.JobID]*job{},
+		customers: map[string]*customer{}, runTimes: map[string]*runTimeModel{}, overruns: map[string]*overrunModel{}, dirty: map[work.JobID]*job{},
 		arrived: map[string]float64{}, inherited: map[work.WorkerID]*worker{}, dirtyWorkers: map[work.WorkerID]bool{},
 		stopping: map[work.RunKey]*run{}, pending: newPendingStarts(),
 	}
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -28,6 +28,8 @@
 	// started means that a task of the job is known to have had a run.
 	started    bool
 	finishedAt time.Time
+	// estimatedEnd is when the job should end by the estimate at its first start; zero if that came too late.
+	estimatedEnd time.Time
 	// stepStates are the steps of every open round: one that was opened and is not complete.
 	stepStates map[stepKey]*stepState
 	// openedRounds counts the rounds that were opened, the first on acceptance and each other one when it comes due;
@@ -246,6 +248,7 @@
 	j.finishedAt = time.Now()
 	delete(sc.unfinished, j.ID)
 	sc.ended = append(sc.ended, j)
+	sc.observeOverrun(j)
 	sc.log.Info("engine: job ended", zap.String("job", string(j.ID)), zap.String("state", string(state)),
 		zap.Duration("late", j.finishedAt.Sub(j.deadline)))
 	sc.markDirty(j)
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -111,6 +111,7 @@
 	classLongRunning = iota
 	classOnTime
 	classLate
+	classExpired
 )
 
 // waitingSteps returns the steps of a pool with waiting tasks that may be placed, those ranked in the last pass first and
@@ -228,24 +229,30 @@
 
 // rank returns the rank of a step by its queue's priority, then its class, then its latest start. Within one priority,
 // long-running tasks go first, then jobs that can still meet their objective, ordered by the latest time at which their
-// remaining work must start, then late jobs by the same time. Within each of the latter two classes, customers within
-// their share of a full pool go first; markOverShare sets that part of the rank. The objective of a round counts from
-// when it is due.
+// remaining work must start, then late jobs by the same time, then expired ones. Jobs that have not started fall into a later
+// class some time before their latest start, see startMargin. Within each class of jobs, customers within their share of a
+// full pool go first; markOverShare sets that part of the rank. The objective of a round counts from when it is due.
 func (sc *Scheduler) rank(s *stepState, now time.Time) rank {
 	r := rank{priority: sc.queueOf(s.job).Priority}
 	if s.spec.LongRunning {
 		r.class = classLongRunning
 		return r
 	}
-	due := s.job.deadline
+	from := time.UnixMilli(s.job.Accepted)
+	allowed := s.job.deadline.Sub(from)
 	if !s.due.IsZero() {
-		due = s.due.Add(sc.jobDeadline(s.job).Sub(time.UnixMilli(s.job.Accepted)))
+		from, allowed = s.due, sc.jobDeadline(s.job).Sub(from)
 	}
-	latestStart := due.Add(-sc.remaining(s, now))
+	latestStart := from.Add(allowed - sc.remaining(s, now))
 	r.latestStart = latestStart.UnixNano()
-	r.class = classOnTime
-	if latestStart.Before(now) {
+	probableStart := now.Add(sc.startMargin(s, latestStart, now))
+	switch {
+	case !latestStart.Before(probableStart):
+		r.class = classOnTime
+	case !latestStart.Add(expiredLateness * allowed).Before(probableStart):
 		r.class = classLate
+	default:
+		r.class = classExpired
 	}
 	return r
 }
@@ -441,6 +448,7 @@
 	p := sc.pool(w.Pool)
 	p.longestEstimate = max(p.longestEstimate, sc.estimate(s.job.Queue, *s.spec))
 	sc.noteFirstStart(s.job, now)
+	sc.noteEstimatedEnd(s, now)
 	s.job.started = true
 	sc.isolate(r)
 	sc.log.Info("engine: starting run", zap.Stringer("task", r.key.Task), zap.Int64("run", number),
