router, hedge: Requests of one instance wait together for a leader that loads

Cause: each waiting request asked the new leader every 50 ms, thousands of calls a second while it reads the stored state. Change: heartbeat replies say that a leader is loading; the requests of an instance wait for one heartbeat in 0.2 s. The time after which a transaction is copied follows the last eight replies, not the slowest of some seconds: after a slow store it stayed long. Reads of the load are not copied: they are slow because the process is busy.

--- a/internal/plat/hedge/hedge.go
+++ b/internal/plat/hedge/hedge.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,13 +12,12 @@
 const (
 	// maxCopies is the largest number of copies of one call.
 	maxCopies = 6
-	// usualFactor is how long a call may take before the next copy is sent, as a multiple of the slowest recent reply; minDelay
-	// and maxDelay bound that time.
-	usualFactor = 2
-	minDelay    = 60 * time.Millisecond
-	maxDelay    = 700 * time.Millisecond
-	// halfLife is the time in which a slow reply counts half.
-	halfLife = 2 * time.Second
+	// usualFactor is how long a call may take before the next copy is sent, as a multiple of the slowest but one of the last
+	// recentReplies; minDelay and maxDelay bound that time.
+	usualFactor   = 2
+	recentReplies = 8
+	minDelay      = 60 * time.Millisecond
+	maxDelay      = 700 * time.Millisecond
 	// copyShare is the number of further copies that each reply allows which came before a second copy was due, and maxSaved
 	// the largest number that may be saved up: a service that has become slow for all calls gets few copies.
 	copyShare = 1
@@ -28,37 +27,33 @@
 // Pacer knows how long replies of a service usually take and how many copies may be sent. It is safe for concurrent use.
 type Pacer struct {
 	mu sync.Mutex
-	// slowest is the slowest recent reply, which counts less the older it is.
-	slowest time.Duration
-	at      time.Time
-	saved   float64
+	// recent are how long the last replies took, at most recentReplies.
+	recent []time.Duration
+	saved  float64
 }
 
 // NewPacer returns a pacer that knows no replies yet.
-func NewPacer() *Pacer {
-	return &Pacer{saved: maxSaved, slowest: maxDelay / usualFactor, at: time.Now()}
-}
+func NewPacer() *Pacer { return &Pacer{saved: maxSaved} }
 
 // delay returns the time after which the next copy of a call is due.
 func (p *Pacer) delay() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return min(max(usualFactor*p.recent(time.Now()), minDelay), maxDelay)
-}
-
-// recent returns the slowest recent reply; mu must be held.
-func (p *Pacer) recent(now time.Time) time.Duration {
-	return time.Duration(float64(p.slowest) * math.Exp2(-float64(now.Sub(p.at))/float64(halfLife)))
+	if len(p.recent) < 2 {
+		return maxDelay
+	}
+	sorted := slices.Sorted(slices.Values(p.recent))
+	return min(max(usualFactor*sorted[len(sorted)-2], minDelay), maxDelay)
 }
 
 // observe records the reply to a copy, and whether it came before a second one was due.
 func (p *Pacer) observe(took time.Duration, inTime bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	if took >= p.recent(now) {
-		p.slowest, p.at = took, now
+	if len(p.recent) == recentReplies {
+		p.recent = p.recent[1:]
 	}
+	p.recent = append(p.recent, took)
 	if inTime {
 		p.saved = min(p.saved+copyShare, maxSaved)
 	}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/yuccahaven/yuccahaven/internal/plat/hedge"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
@@ -45,7 +44,6 @@
 	// places bounds the reads at the same time.
 	places chan struct{}
 	reads  sync.WaitGroup
-	pacer  *hedge.Pacer
 
 	mu    sync.Mutex
 	items []table.Item
@@ -57,8 +55,7 @@
 	readCtx, fail := context.WithCancelCause(ctx)
 	var confirming sync.WaitGroup
 	confirming.Go(func() { s.confirmDuringLoad(readCtx, fail, l) })
-	x := &loader{service: s, leadership: l, fail: fail, places: make(chan struct{}, loadReaders),
-		pacer: hedge.NewPacer()}
+	x := &loader{service: s, leadership: l, fail: fail, places: make(chan struct{}, loadReaders)}
 	for _, prefix := range []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, rowlog.Prefix, prefixWave,
 		prefixOperation} {
 		x.reads.Go(func() { x.prefix(readCtx, prefix) })
@@ -130,15 +127,13 @@
 	x.places <- struct{}{}
 	defer func() { <-x.places }()
 	for began := time.Now(); ; {
-		page, err := hedge.Do(ctx, x.pacer, isInvalid, func(ctx context.Context) ([]table.Item, error) {
-			return x.service.Store.Scan(ctx, prefix, after, scanPageSize)
-		})
+		page, err := x.service.Store.Scan(ctx, prefix, after, scanPageSize)
 		switch {
 		case ctx.Err() != nil:
 			return nil, false
 		case err == nil:
 			return page, true
-		case isInvalid(err) || time.Since(began) > loadTimeout:
+		case !errors.Is(err, table.ErrUnavailable) || time.Since(began) > loadTimeout:
 			x.fail(err)
 			return nil, false
 		}
@@ -147,9 +142,6 @@
 	}
 }
 
-// isInvalid reports whether a read failed for another reason than that the store was unavailable.
-func isInvalid(err error) bool { return !errors.Is(err, table.ErrUnavailable) }
-
 // confirmDuringLoad confirms leadership in the usual intervals until the context ends.
 func (s *Service) confirmDuringLoad(ctx context.Context, fail context.CancelCauseFunc, l *elect.Leadership) {
 	for {
--- a/internal/serve/leader/peers.go
+++ b/internal/serve/leader/peers.go
@@ -70,7 +70,7 @@
 		h.confirmedAt, h.confirmedTerm = at, q.EchoTerm
 	}
 	s.heartbeats[q.From] = h
-	interval, ended := s.interval(), s.endedTerm >= q.Term
+	interval, ended, loading := s.interval(), s.endedTerm >= q.Term, s.session == nil
 	s.mu.Unlock()
 	if l == nil {
 		return peer.HeartbeatReply{Ended: ended}
@@ -82,7 +82,7 @@
 		return peer.HeartbeatReply{}
 	}
 	return peer.HeartbeatReply{IsLeader: !l.Lost(), Ended: l.Lost(), Term: l.Term(), SinceConfirmed: l.SinceConfirmed(),
-		StoreRefusedFor: l.StoreRefusedFor(), Stamp: now.Sub(s.epoch), Interval: interval}
+		StoreRefusedFor: l.StoreRefusedFor(), Stamp: now.Sub(s.epoch), Interval: interval, Loading: loading}
 }
 
 // HeardRecently reports whether the heartbeats of a peer prove that it knew the leader recently.
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -88,6 +88,8 @@
 	exitedTerm int64
 	// overloads are the leader's refusals of jobs within overloadHold.
 	overloads overloads
+	// ready is closed when the leader is found to be ready; nil while nobody waits for that.
+	ready chan struct{}
 }
 
 // New returns a router of the entry instance with a name.
@@ -368,16 +370,19 @@
 		// What the former leader kept may have been stored.
 		unknown, pending = unknown || pending, false
 		if !unknown && (ctx.Err() != nil || time.Since(began) >= leaderWaitTimeout) {
-			r.log.Info("router: request refused, no leader reached in time", zap.Any("request", describe(q)),
-				zap.Error(lastErr))
-			return none, false, reject.New(reject.KindStale, reject.WorkNotRun, "no instance can take this now").
-				WithRetryAfter(takeoverDuration)
+			return none, false, r.refuse(q, lastErr)
 		}
 		if ctx.Err() != nil || unknown && nearDeadline(ctx) {
 			r.log.Warn("router: no answer before the deadline, outcome of the request unknown",
 				zap.Any("request", describe(q)), zap.Duration("took", time.Since(began)), zap.Error(lastErr))
 			return none, true, reject.New(reject.KindUnconfirmed, reject.WorkUnknown, "no answer in time")
 		}
+		if err == nil && reply.Outcome() == peer.NotLeader && !r.local.IsLeader() {
+			if !r.awaitReady(ctx, unknown, began) && !unknown {
+				return none, false, r.refuse(q, lastErr)
+			}
+			continue
+		}
 		pause := time.NewTimer(retryBackoff)
 		select {
 		case <-pause.C:
@@ -387,6 +392,12 @@
 	}
 }
 
+// refuse returns the rejection of a request that no leader can have received.
+func (r *Router) refuse(q any, lastErr error) error {
+	r.log.Info("router: request refused, no leader reached in time", zap.Any("request", describe(q)), zap.Error(lastErr))
+	return reject.New(reject.KindStale, reject.WorkNotRun, "no instance can take this now").WithRetryAfter(takeoverDuration)
+}
+
 // logAttempt logs an attempt to forward a cancellation, so that it can be followed from the caller to the store, and further
 // attempts to submit a job.
 func (r *Router) logAttempt(q any, attempt int, reply leaderReply, took, age time.Duration, err error) {
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -131,6 +131,8 @@
 	// no longer does.
 	Boot  string `json:"boot,omitempty"`
 	Ended bool   `json:"ended,omitempty"`
+	// Loading means that the leader does not answer requests yet, because it loads the stored state.
+	Loading bool `json:"loading,omitempty"`
 }
 
 // Validate returns an error for an invalid message.
