hedge, elect: Every other copy of a transaction only reads whether one has taken effect

Now a copy that reads comes first, at 60 ms, copies come at growing intervals, and after one slow reply the next transactions are not copied for 1.2 s.

--- a/internal/plat/hedge/hedge.go
+++ b/internal/plat/hedge/hedge.go
@@ -12,12 +12,13 @@
 const (
 	// maxCopies is the largest number of copies of one call.
 	maxCopies = 6
-	// usualFactor is how long a call may take before the next copy is sent, as a multiple of the slowest but one of the last
-	// recentReplies; minDelay and maxDelay bound that time.
+	// usualFactor is how long a call may take before the second copy is sent, as a multiple of the slowest of the last
+	// recentReplies; minDelay and maxDelay bound that time. It grows by delayGrowth with each copy.
 	usualFactor   = 2
+	delayGrowth   = 1.5
 	recentReplies = 8
 	minDelay      = 60 * time.Millisecond
-	maxDelay      = 700 * time.Millisecond
+	maxDelay      = 1200 * time.Millisecond
 	// copyShare is the number of further copies that each reply allows which came before a second copy was due, and maxSaved
 	// the largest number that may be saved up: a service that has become slow for all calls gets few copies.
 	copyShare = 1
@@ -35,15 +36,14 @@
 // NewPacer returns a pacer that knows no replies yet.
 func NewPacer() *Pacer { return &Pacer{saved: maxSaved} }
 
-// delay returns the time after which the next copy of a call is due.
+// delay returns the time after which the second copy of a call is due.
 func (p *Pacer) delay() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.recent) < 2 {
+	if len(p.recent) == 0 {
 		return maxDelay
 	}
-	sorted := slices.Sorted(slices.Values(p.recent))
-	return min(max(usualFactor*sorted[len(sorted)-2], minDelay), maxDelay)
+	return min(max(usualFactor*slices.Max(p.recent), minDelay), maxDelay)
 }
 
 // observe records the reply to a copy, and whether it came before a second one was due.
@@ -77,22 +77,25 @@
 	took  time.Duration
 }
 
-// Do makes a call and returns the first conclusive reply to any copy of it, after which it cancels the other copies. An error is
-// conclusive if isConclusive says so. Without a conclusive reply it returns the error of the copy that failed first.
-func Do[A any](ctx context.Context, p *Pacer, isConclusive func(error) bool, call func(context.Context) (A, error)) (A, error) {
+// Do makes a call and returns the first conclusive reply to any copy of it, after which it cancels the other copies. The call gets
+// the number of the copy, from 0. An error is conclusive if isConclusive says so. Without a conclusive reply it returns the error
+// of the copy that failed first.
+func Do[A any](ctx context.Context, p *Pacer, isConclusive func(error) bool,
+	call func(ctx context.Context, number int) (A, error)) (A, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan reply[A], maxCopies)
-	send := func() {
+	send := func(number int) {
 		sent := time.Now()
 		go func() {
-			value, err := call(ctx)
+			value, err := call(ctx, number)
 			replies <- reply[A]{value, err, time.Since(sent)}
 		}()
 	}
-	send()
+	send(0)
 	copies, outstanding, inTime := 1, 1, true
-	timer := time.NewTimer(p.delay())
+	delay := p.delay()
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	var failed error
 	for {
@@ -112,10 +115,11 @@
 		case <-timer.C:
 			inTime = false
 			if copies < maxCopies && p.allow() {
-				send()
+				send(copies)
 				copies++
 				outstanding++
-				timer.Reset(p.delay())
+				delay = time.Duration(delayGrowth * float64(delay))
+				timer.Reset(delay)
 			}
 		}
 	}
--- a/internal/state/elect/leadership.go
+++ b/internal/state/elect/leadership.go
@@ -193,8 +193,12 @@
 			return ErrLost
 		}
 		sent := time.Now()
-		// Copies of a transaction do no harm: the first one that takes effect changes the record's version.
-		version, err := hedge.Do(ctx, l.pacer, isConclusive, func(ctx context.Context) (uint64, error) {
+		version, err := hedge.Do(ctx, l.pacer, isConclusive, func(ctx context.Context, number int) (uint64, error) {
+			// Copies of a transaction do no harm: the first one that takes effect changes the record's version. But the store
+			// handles them one after another, so that every other copy only reads whether one has taken effect.
+			if number%2 == 1 {
+				return l.probe(ctx, next)
+			}
 			return l.store.Commit(ctx, x)
 		})
 		if errors.Is(err, table.ErrConflict) {
@@ -224,20 +228,34 @@
 // resolve finds out after a conflict whether an earlier attempt of the same transaction took effect: it returns the
 // record's version if so, ErrLost if not, and another error if reading the record fails.
 func (l *Leadership) resolve(ctx context.Context, next LeaderRecord) (uint64, error) {
-	items, err := hedge.Do(ctx, l.pacer, isConclusive, func(ctx context.Context) ([]table.Item, error) {
-		return l.store.Get(ctx, LeaderKey)
+	version, err := hedge.Do(ctx, l.pacer, isConclusive, func(ctx context.Context, _ int) (uint64, error) {
+		version, err := l.probe(ctx, next)
+		if errors.Is(err, errNotInEffect) {
+			err = ErrLost
+		}
+		return version, err
 	})
+	if errors.Is(err, ErrLost) {
+		l.lost.Store(true)
+	}
+	return version, err
+}
+
+// errNotInEffect means that the record read is not the one that a transaction writes; it may take effect later.
+var errNotInEffect = fmt.Errorf("%w: the leader record is another one", table.ErrUnknown)
+
+// probe reads whether the transaction that writes a record has taken effect, and returns the record's version then.
+func (l *Leadership) probe(ctx context.Context, next LeaderRecord) (uint64, error) {
+	items, err := l.store.Get(ctx, LeaderKey)
 	if err != nil {
 		return 0, err
 	}
 	if len(items) == 1 {
-		current, err := decode(items[0])
-		if err == nil && current == next {
+		if current, err := decode(items[0]); err == nil && current == next {
 			return items[0].Version, nil
 		}
 	}
-	l.lost.Store(true)
-	return 0, ErrLost
+	return 0, errNotInEffect
 }
 
 // isConclusive reports whether an error of the store says that a transaction has not taken effect and never will.
