leader, router: Callers who wait for a slow store ask the leader less often

The leader keeps a pending request for 0.6 s first, then for 1.2 s; a request for the state of a job that has ended waits up to 0.4 s for the store to have its end. Neither is logged again and again.

--- a/internal/sched/engine/submit.go
+++ b/internal/sched/engine/submit.go
@@ -39,8 +39,11 @@
 // holds that version.
 func (sc *Scheduler) Submit(j work.Job) (int, error) {
 	if known, ok := sc.jobs[j.ID]; ok {
-		sc.log.Info("engine: job submitted again", zap.String("job", string(j.ID)),
-			zap.String("state", string(known.state)))
+		// While the store has not taken the job, its instance asks again and again.
+		if known.stored {
+			sc.log.Info("engine: job submitted again", zap.String("job", string(j.ID)),
+				zap.String("state", string(known.state)))
+		}
 		return firstVersion, nil
 	}
 	q, ok := sc.config.Queue(j.Queue)
@@ -100,6 +103,15 @@
 // Has reports whether the scheduler has a job, stored or not.
 func (sc *Scheduler) Has(id work.JobID) bool { return sc.jobs[id] != nil }
 
+// EndsUnstored returns the version of a job that has ended of which the store does not have the end yet, or false.
+func (sc *Scheduler) EndsUnstored(id work.JobID) (int, bool) {
+	j, ok := sc.jobs[id]
+	if !ok || !j.stored || !j.state.Final() || j.storedState.Final() {
+		return 0, false
+	}
+	return j.version, true
+}
+
 // IsStored reports whether the store holds a version of a job, or a later one; true for a job that is no longer kept.
 func (sc *Scheduler) IsStored(id work.JobID, version int) bool {
 	j, ok := sc.jobs[id]
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -197,7 +197,7 @@
 		if q.Cancel {
 			return ss.answer(kindCancel, func() peer.JobReply { return ss.cancel(ctx, q) })
 		}
-		return ss.answer(kindState, func() peer.JobReply { return ss.state(q.ID) })
+		return ss.answer(kindState, func() peer.JobReply { return ss.state(ctx, q) })
 	})
 }
 
--- a/internal/serve/leader/overload_test.go
+++ b/internal/serve/leader/overload_test.go
@@ -131,3 +131,31 @@
 		}
 	})
 }
+
+// Guards against callers who ask for the state of an ended job again and again while the store takes its end: each request costs
+// the leader as much as a new one.
+func TestStateWaitsForStoredEnd(t *testing.T) {
+	testClusterWith(t, func(*leader.Options) {}, func(c *cluster) {
+		e := c.leader()
+		j := smallJob(1)
+		if reply := submitOnce(e, j); reply.Result != peer.Accepted {
+			t.Fatalf("reply %+v", reply)
+		}
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{Delay: 200 * time.Millisecond})
+		}
+		requests := 0
+		for began := time.Now(); time.Since(began) < 20*time.Second; requests++ {
+			sent := time.Now()
+			reply := e.service.Load().Job(context.Background(), peer.JobRequest{ID: j.ID, Wait: 600 * time.Millisecond})
+			if reply.State == work.Completed {
+				return
+			}
+			if took := time.Since(sent); took > 0 {
+				t.Errorf("a request that waited %v is answered %q", took, reply.State)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Errorf("not completed after %d requests", requests)
+	})
+}
--- a/internal/serve/leader/submit.go
+++ b/internal/serve/leader/submit.go
@@ -17,6 +17,8 @@
 	// abandonedAfter is how long a job that is not in a transaction yet is kept after the last request that waited for it. An
 	// instance asks again at once for a job that is pending.
 	abandonedAfter = time.Second
+	// maxStateWait is how long a request for the state of a job that has ended waits for the store.
+	maxStateWait = 400 * time.Millisecond
 	// lastWait is the least time that a caller must have left for its instance to ask again.
 	lastWait = 150 * time.Millisecond
 )
@@ -197,6 +199,9 @@
 		}
 	}
 	reply := s.pending(ctx, q.Wait)
+	if reply.Pending && q.Deadline-took >= lastWait {
+		return reply
+	}
 	s.log.Warn("leader: store did not confirm a job in time, outcome unknown", zap.String("job", string(id)),
 		zap.Duration("took", took), zap.Duration("age", s.leadership.SinceConfirmed()), zap.Bool("pending", reply.Pending))
 	return reply
@@ -228,11 +233,25 @@
 	return peer.JobReply{Result: peer.Accepted, State: work.Cancelled, Queue: queue}
 }
 
-func (s *session) state(id work.JobID) peer.JobReply {
+// state returns the state of a job. A job that has ended is waited for until the store has its end, so that its caller does not
+// have to ask again and again.
+func (s *session) state(ctx context.Context, q peer.JobRequest) peer.JobReply {
 	var state work.State
 	var queue string
 	var err error
-	s.locked(func() { state, queue, err = s.scheduler.State(id) })
+	var version int
+	var ended bool
+	look := func() {
+		state, queue, err = s.scheduler.State(q.ID)
+		version, ended = s.scheduler.EndsUnstored(q.ID)
+	}
+	s.locked(look)
+	if ended && q.Wait > 0 {
+		waiting, cancel := waitContext(ctx, min(q.Wait, maxStateWait))
+		defer cancel()
+		s.awaitWritten(waiting, q.ID, version)
+		s.locked(look)
+	}
 	if err != nil {
 		return s.notFound()
 	}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -22,8 +22,12 @@
 	// callTimeout bounds one call to the leader; a call over a dead connection takes as long.
 	callTimeout = 800 * time.Millisecond
 	// replyWait is how long the leader may wait for the store before it replies that a request is pending. It is less than
-	// callTimeout, so that the connection stays in use and a silent one can be told from a slow store.
-	replyWait = 600 * time.Millisecond
+	// callTimeout, so that the connection stays in use and a silent one can be told from a slow store. It doubles with each
+	// such reply, up to maxReplyWait: the connection has just been in use then.
+	replyWait    = 600 * time.Millisecond
+	maxReplyWait = 2 * replyWait
+	// callMargin is how much longer than the leader may wait its reply is waited for.
+	callMargin = callTimeout - replyWait
 	// overloadHold is how long this instance refuses jobs by itself after the leader has refused one of the same queue and
 	// customer.
 	overloadHold = 400 * time.Millisecond
@@ -103,12 +107,12 @@
 // Serve registers the handlers of peers' calls.
 func (r *Router) Serve(s *peer.Server) {
 	peer.Handle(s, peer.MethodSubmit, func(ctx context.Context, q peer.SubmitRequest) (peer.JobReply, error) {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, max(callTimeout, q.Wait+callMargin))
 		defer cancel()
 		return r.local.Submit(ctx, q), nil
 	})
 	peer.Handle(s, peer.MethodJob, func(ctx context.Context, q peer.JobRequest) (peer.JobReply, error) {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, max(callTimeout, q.Wait+callMargin))
 		defer cancel()
 		return r.local.Job(ctx, q), nil
 	})
@@ -314,15 +318,16 @@
 	WithTimes(wait, deadline time.Duration) Q
 }
 
-// withTimes returns a request with the times that are left before the context's deadline, if it has any.
-func withTimes[Q any](ctx context.Context, q Q) Q {
+// withTimes returns a request with how long the leader may wait for the store and how long the caller does, if the context has a
+// deadline.
+func withTimes[Q any](ctx context.Context, q Q, wait time.Duration) Q {
 	t, ok := any(q).(timedRequest[Q])
 	deadline, limited := ctx.Deadline()
 	if !ok || !limited {
 		return q
 	}
 	left := max(time.Until(deadline), time.Millisecond)
-	return t.WithTimes(max(min(replyWait, left-retryBackoff), time.Millisecond), left)
+	return t.WithTimes(max(min(wait, left-retryBackoff), time.Millisecond), left)
 }
 
 // forwardWithRetry forwards a request to the leader. A request that has not reached a leader within leaderWaitTimeout
@@ -333,7 +338,7 @@
 	local func(context.Context, Q) A) (A, bool, error) {
 	began := time.Now()
 	// pending means that the leader of the last attempt keeps the request.
-	unknown, pending := false, false
+	unknown, pending, wait := false, false, replyWait
 	attempts := 0
 	var lastErr error
 	var none A
@@ -350,12 +355,12 @@
 		}
 		attempts++
 		sent := time.Now()
-		reply, maybeReached, err := forwardOnce(ctx, r, m, withTimes(ctx, q), local)
+		reply, maybeReached, err := forwardOnce(ctx, r, m, withTimes(ctx, q, wait), wait+callMargin, local)
 		unknown = unknown || maybeReached
 		r.logAttempt(q, attempts, reply, time.Since(sent), time.Since(began), err)
 		switch {
 		case err == nil && reply.IsPending():
-			pending = true
+			pending, wait = true, min(2*wait, maxReplyWait)
 			if !nearDeadline(ctx) {
 				continue
 			}
@@ -368,7 +373,7 @@
 			lastErr = err
 		}
 		// What the former leader kept may have been stored.
-		unknown, pending = unknown || pending, false
+		unknown, pending, wait = unknown || pending, false, replyWait
 		if !unknown && (ctx.Err() != nil || time.Since(began) >= leaderWaitTimeout) {
 			return none, false, r.refuse(q, lastErr)
 		}
@@ -434,11 +439,11 @@
 
 // forwardOnce makes one call, to the local service if this process leads, and reports whether a failed call may have
 // reached the leader.
-func forwardOnce[Q peer.Message, A leaderReply](ctx context.Context, r *Router, m peer.Method[Q, A], q Q,
+func forwardOnce[Q peer.Message, A leaderReply](ctx context.Context, r *Router, m peer.Method[Q, A], q Q, timeout time.Duration,
 	local func(context.Context, Q) A) (A, bool, error) {
 	var none A
 	if r.local.IsLeader() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		reply := local(ctx, q)
 		return reply, false, nil
@@ -448,7 +453,7 @@
 		r.tracker.Wake()
 		return none, false, errNoLeader
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := peer.Call(ctx, r.peers, leader.Address, m, q)
 	if err != nil {
