engine, intake: Late jobs yield while the leader is short of processor time

Now one late step that has not started goes per planning pass then, and the intake counts the two transactions that a job waits for. The first copy of a transaction comes after 0.7 s at most, 0.3 s before any reply. TestLateJobsYieldWhileShortOfTime, TestDecide.

--- a/internal/plat/hedge/hedge.go
+++ b/internal/plat/hedge/hedge.go
@@ -13,12 +13,14 @@
 	// maxCopies is the largest number of copies of one call.
 	maxCopies = 6
 	// usualFactor is how long a call may take before the second copy is sent, as a multiple of the slowest of the last
-	// recentReplies; minDelay and maxDelay bound that time. It grows by delayGrowth with each copy.
+	// recentReplies; minDelay and maxDelay bound that time, firstDelay is that before any reply. It grows by delayGrowth with
+	// each copy.
 	usualFactor   = 2
 	delayGrowth   = 1.5
 	recentReplies = 8
 	minDelay      = 60 * time.Millisecond
-	maxDelay      = 1200 * time.Millisecond
+	maxDelay      = 700 * time.Millisecond
+	firstDelay    = 300 * time.Millisecond
 	// copyShare is the number of further copies that each reply allows which came before a second copy was due, and maxSaved
 	// the largest number that may be saved up: a service that has become slow for all calls gets few copies.
 	copyShare = 1
@@ -41,7 +43,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.recent) == 0 {
-		return maxDelay
+		return firstDelay
 	}
 	return min(max(usualFactor*slices.Max(p.recent), minDelay), maxDelay)
 }
--- a/internal/sched/engine/backlog_test.go
+++ b/internal/sched/engine/backlog_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,3 +70,41 @@
 		}
 	})
 }
+
+// Load pattern: a store that was slow has left hundreds of late jobs, and the leader is short of processor time. Guards against
+// jobs that could be in time and wait behind the starts of late ones, and against late jobs that never start.
+func TestLateJobsYieldWhileShortOfTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Objective: time.Second}}},
+			[]work.Worker{{ID: "w1", Pool: "p", Capacity: work.Need{CPU: 1000}}})
+		submit := func(first, jobs int) {
+			for i := range jobs {
+				if _, err := sc.Submit(work.Job{ID: work.JobID(fmt.Sprintf("%016x", first+i)), Queue: "q",
+					Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 2, Need: work.Need{CPU: 1}, Estimate: time.Second}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			store(t, sc)
+		}
+		submit(1, 30)
+		time.Sleep(2 * time.Second)
+		submit(100, 10)
+		sc.SetShort(true)
+		if n := len(sc.Commands()); n != 20+2*maxLateSteps {
+			t.Errorf("%d starts while short of time", n)
+		}
+		passes := 0
+		for len(sc.Commands()) > 0 {
+			passes++
+		}
+		if passes != 29 {
+			t.Errorf("%d passes with late starts", passes)
+		}
+		submit(200, 30)
+		time.Sleep(2 * time.Second)
+		sc.SetShort(false)
+		if n := len(sc.Commands()); n < 60 {
+			t.Errorf("%d starts with processor time left", n)
+		}
+	})
+}
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -51,6 +51,7 @@
 		return nil
 	}
 	var commands []Command
+	late := 0
 	for _, e := range sc.rankSteps(p, waiting, now) {
 		s, eligible := e.state, workers.workers
 		if !sc.pending.allow() {
@@ -59,6 +60,12 @@
 		if !sc.mayPlace(s, workers, cordoned) {
 			continue
 		}
+		if sc.short && e.rank.class >= classLate && !s.job.started {
+			if late >= maxLateSteps {
+				continue
+			}
+			late++
+		}
 		if sc.queueOf(s.job).NeedsTicket {
 			if req, ok := sc.ticketRequest(s, eligible, now); ok {
 				commands = append(commands, req)
@@ -106,6 +113,13 @@
 	rank  rank
 }
 
+// maxLateSteps is the number of late steps of jobs that have not started from which tasks start in one planning pass while the
+// process is short of processor time: starting them all would make the jobs late that could still be in time.
+const maxLateSteps = 1
+
+// SetShort tells whether the process is short of processor time.
+func (sc *Scheduler) SetShort(short bool) { sc.short = short }
+
 // Classes of steps within one priority; the lower one goes first.
 const (
 	classLongRunning = iota
--- a/internal/sched/intake/intake.go
+++ b/internal/sched/intake/intake.go
@@ -69,16 +69,21 @@
 	}
 }
 
+// Short reports whether the process is short of processor time.
+func (c *Controller) Short() bool { return c.load.Delay >= shortDelay }
+
 // Decide decides about a new job, and counts it in the load if it is taken on.
 func (c *Controller) Decide(j Job) Verdict {
 	// A job misses the transaction that is being sent and waits for that and for its own.
 	if stored := 2 * c.load.Commit; stored > j.Deadline {
 		return Verdict{true, clamp(stored - j.Deadline), "the store takes longer than the caller waits"}
 	}
-	if c.load.Delay >= shortDelay && j.Tasks > 0 {
+	if c.Short() && j.Tasks > 0 {
 		limit := time.Duration(maxWaitShare * float64(j.Allowed))
-		wait := c.wait(c.total, 1)
-		if wait > hardFactor*limit || wait > limit && c.customerWait(j.Customer) > limit {
+		// The acceptance and the end of a job wait for a transaction each.
+		stored := 2 * c.load.Commit
+		wait := c.wait(c.total, 1) + stored
+		if wait > hardFactor*limit || wait > limit && c.customerWait(j.Customer)+stored > limit {
 			return Verdict{true, clamp(wait - limit), "more work than can be started in time"}
 		}
 	}
--- a/internal/serve/leader/overload.go
+++ b/internal/serve/leader/overload.go
@@ -45,6 +45,7 @@
 		l.Delay = s.service.Delay()
 	}
 	s.intake.Observe(l)
+	s.scheduler.SetShort(s.intake.Short())
 	s.startRate.advance()
 }
 
