--- a/internal/plat/hedge/hedge.go
+++ b/internal/plat/hedge/hedge.go
@@ -13,10 +13,9 @@
 	// maxCopies is the largest number of copies of one call.
 	maxCopies = 6
 	// usualFactor is how long a call may take before the second copy is sent, as a multiple of the slowest of the last
-	// recentReplies; minDelay and maxDelay bound that time, firstDelay is that before any reply. It grows by delayGrowth with
-	// each copy.
+	// recentReplies; minDelay and maxDelay bound that time, firstDelay is that before any reply. Further copies follow after half
+	// of it.
 	usualFactor   = 2
-	delayGrowth   = 1.5
 	recentReplies = 8
 	minDelay      = 60 * time.Millisecond
 	maxDelay      = 700 * time.Millisecond
@@ -120,8 +119,7 @@
 				send(copies)
 				copies++
 				outstanding++
-				delay = time.Duration(delayGrowth * float64(delay))
-				timer.Reset(delay)
+				timer.Reset(max(delay/2, minDelay))
 			}
 		}
 	}
