leader: A job that waits for the store is neither denied nor withdrawn behind another request's back

Callers could see, by reading and with a test: 410 for the state or the cancellation of a job to whose submission they got no answer and that ran all the same; and, with the new withdrawal, a job accepted that had just been withdrawn for another request (a request joined the job after it was submitted, not with it). Change: a request joins the awaited jobs in the step that submits, cancels or looks up the job; a cancellation ends a pending job; a request for its state waits for the store and says that it is not known while the store has not answered. TestPendingJobIsNotDenied failed before (absent for state and cancellation, the job completed); TestJobIsKeptWhileAnotherRequestWaits.

--- a/internal/sched/engine/submit.go
+++ b/internal/sched/engine/submit.go
@@ -103,13 +103,25 @@
 // Has reports whether the scheduler has a job, stored or not.
 func (sc *Scheduler) Has(id work.JobID) bool { return sc.jobs[id] != nil }
 
-// EndsUnstored returns the version of a job that has ended of which the store does not have the end yet, or false.
-func (sc *Scheduler) EndsUnstored(id work.JobID) (int, bool) {
+// Unstored returns the version of a job of which the store does not have the end yet, or which it does not have at all; unstored
+// is false for any other job.
+func (sc *Scheduler) Unstored(id work.JobID) (version int, unstored, isNew bool) {
 	j, ok := sc.jobs[id]
-	if !ok || !j.stored || !j.state.Final() || j.storedState.Final() {
-		return 0, false
+	switch {
+	case !ok:
+		return 0, false, false
+	case !j.stored:
+		return firstVersion, true, true
 	}
-	return j.version, true
+	return j.version, j.state.Final() && !j.storedState.Final(), false
+}
+
+// QueueOf returns the queue of a job that the scheduler has, "" otherwise.
+func (sc *Scheduler) QueueOf(id work.JobID) string {
+	if j, ok := sc.jobs[id]; ok {
+		return j.Queue
+	}
+	return ""
 }
 
 // IsStored reports whether the store holds a version of a job, or a later one; true for a job that is no longer kept.
--- a/internal/serve/leader/overload_test.go
+++ b/internal/serve/leader/overload_test.go
@@ -159,3 +159,72 @@
 		t.Errorf("not completed after %d requests", requests)
 	})
 }
+
+// Guards against a job that is said not to run although another request for it waits: a caller whose connection broke has sent it
+// again, and the first instance gives up earlier.
+func TestJobIsKeptWhileAnotherRequestWaits(t *testing.T) {
+	testClusterWith(t, func(*leader.Options) {}, func(c *cluster) {
+		e := c.leader()
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{Delay: 3 * time.Second})
+		}
+		go submitOnce(e, smallJob(1))
+		time.Sleep(100 * time.Millisecond)
+		j := smallJob(2)
+		first := make(chan peer.JobReply)
+		go func() {
+			first <- e.service.Load().Submit(context.Background(), peer.SubmitRequest{Job: j, Version: 1, Wait: 200 * time.Millisecond,
+				Deadline: 250 * time.Millisecond})
+		}()
+		time.Sleep(100 * time.Millisecond)
+		second := e.service.Load().Submit(context.Background(), peer.SubmitRequest{Job: j, Version: 1, Wait: 10 * time.Second,
+			Deadline: 12 * time.Second})
+		if reply := <-first; reply.Result != peer.Unknown {
+			t.Errorf("the first request is answered %+v", reply)
+		}
+		if second.Result != peer.Accepted {
+			t.Errorf("the second request is answered %+v", second)
+		}
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{})
+		}
+		time.Sleep(20 * time.Second)
+		if s := c.state(j.ID); s != work.Completed {
+			t.Errorf("the job is %q", s)
+		}
+	})
+}
+
+// Guards against callers who are told that a job does not exist while its submission, to which they got no answer, waits for the
+// store: it would run all the same.
+func TestPendingJobIsNotDenied(t *testing.T) {
+	testClusterWith(t, func(*leader.Options) {}, func(c *cluster) {
+		e := c.leader()
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{Delay: time.Second})
+		}
+		for i := range 3 {
+			go submitOnce(e, smallJob(1+i))
+		}
+		time.Sleep(100 * time.Millisecond)
+		request := func(id int, cancel bool, wait time.Duration) peer.JobReply {
+			return e.service.Load().Job(context.Background(), peer.JobRequest{ID: smallJob(id).ID, Cancel: cancel, Wait: wait})
+		}
+		if reply := request(2, false, 100*time.Millisecond); reply.Result != peer.Unknown {
+			t.Errorf("the state of a pending job is answered %+v", reply)
+		}
+		if reply := request(3, true, 10*time.Second); reply.Result != peer.Accepted {
+			t.Errorf("the cancellation of a pending job is answered %+v", reply)
+		}
+		if reply := request(2, false, 10*time.Second); reply.Result != peer.Accepted {
+			t.Errorf("the state of the stored job is answered %+v", reply)
+		}
+		for _, x := range c.entries {
+			x.link.SetFaults(fakes.Faults{})
+		}
+		time.Sleep(20 * time.Second)
+		if s := c.state(smallJob(3).ID); s != work.Cancelled {
+			t.Errorf("the cancelled job is %q", s)
+		}
+	})
+}
--- a/internal/serve/leader/submit.go
+++ b/internal/serve/leader/submit.go
@@ -35,8 +35,9 @@
 // awaitedJobs are the jobs that requests wait, or have waited, to be stored.
 type awaitedJobs map[work.JobID]*awaitedJob
 
-// join records that a request waits for a job and returns the channel that is closed at its next change in the store.
-func (a *awaitedJobs) join(id work.JobID) chan struct{} {
+// join records that a request waits for a job. It must be called together with what the request does with the job, so that the
+// job is not withdrawn in between.
+func (a *awaitedJobs) join(id work.JobID) *awaitedJob {
 	w, ok := (*a)[id]
 	if !ok {
 		if *a == nil {
@@ -46,15 +47,13 @@
 		(*a)[id] = w
 	}
 	w.requests++
-	return w.changed
+	return w
 }
 
-// leave records that a request no longer waits for a job.
-func (a awaitedJobs) leave(id work.JobID) {
-	if w, ok := a[id]; ok {
-		w.requests--
-		w.left = time.Now()
-	}
+// leave records that a request no longer waits for the job.
+func (w *awaitedJob) leave() {
+	w.requests--
+	w.left = time.Now()
 }
 
 // stored wakes the requests that wait for a job.
@@ -84,29 +83,22 @@
 	}
 }
 
-// awaitWritten waits until the store holds a version of a job; it returns false if the session or the context ends first.
-func (s *session) awaitWritten(ctx context.Context, id work.JobID, version int) bool {
+// awaitWritten waits until the store holds a version of a job for which the calling request has joined the awaited ones, and
+// leaves them; it returns false if the session or the context ends first.
+func (s *session) awaitWritten(ctx context.Context, w *awaitedJob, id work.JobID, version int) bool {
+	defer s.locked(func() { w.leave() })
 	for {
 		var stored bool
 		var changed chan struct{}
-		s.locked(func() {
-			if stored = s.scheduler.IsStored(id, version); !stored {
-				changed = s.awaited.join(id)
-			}
-		})
+		s.locked(func() { stored, changed = s.scheduler.IsStored(id, version), w.changed })
 		if stored {
 			return true
 		}
-		done := false
 		select {
 		case <-changed:
 		case <-s.done:
-			done = true
+			return false
 		case <-ctx.Done():
-			done = true
-		}
-		s.locked(func() { s.awaited.leave(id) })
-		if done {
 			return false
 		}
 	}
@@ -133,6 +125,7 @@
 	var err error
 	var leaving, behind, machinesUnknown bool
 	var verdict intake.Verdict
+	var awaited *awaitedJob
 	s.locked(func() {
 		if leaving = s.steppingDown || s.leadership.Lost(); leaving {
 			return
@@ -142,7 +135,9 @@
 		} else if verdict = s.decide(q); verdict.Refused {
 			return
 		}
-		version, err = s.scheduler.Submit(j)
+		if version, err = s.scheduler.Submit(j); err == nil {
+			awaited = s.awaited.join(j.ID)
+		}
 		behind = s.scheduler.Version() < q.Version
 		machinesUnknown = s.service.Machines != nil && !s.scheduler.KnowsMachines()
 	})
@@ -171,7 +166,7 @@
 	wake(s.commitWake)
 	waiting, cancel := waitContext(ctx, q.Wait)
 	defer cancel()
-	if !s.awaitWritten(waiting, j.ID, version) {
+	if !s.awaitWritten(waiting, awaited, j.ID, version) {
 		return s.unconfirmed(ctx, q, time.Since(began))
 	}
 	wake(s.planWake)
@@ -207,14 +202,16 @@
 	return reply
 }
 
+// cancel cancels a job, also one that the store has not taken yet.
 func (s *session) cancel(ctx context.Context, q peer.JobRequest) peer.JobReply {
 	began := time.Now()
 	var queue string
 	var version int
 	var err error
+	var awaited *awaitedJob
 	s.locked(func() {
-		if _, queue, err = s.scheduler.State(q.ID); err == nil {
-			version, err = s.scheduler.Cancel(q.ID)
+		if version, err = s.scheduler.Cancel(q.ID); err == nil {
+			queue, awaited = s.scheduler.QueueOf(q.ID), s.awaited.join(q.ID)
 		}
 	})
 	if err != nil {
@@ -223,7 +220,7 @@
 	s.wakeLoops()
 	waiting, cancel := waitContext(ctx, q.Wait)
 	defer cancel()
-	if !s.awaitWritten(waiting, q.ID, version) {
+	if !s.awaitWritten(waiting, awaited, q.ID, version) {
 		s.log.Warn("leader: store did not confirm a cancellation in time, outcome unknown", zap.String("job", string(q.ID)),
 			zap.Duration("took", time.Since(began)), zap.Duration("age", s.leadership.SinceConfirmed()))
 		return s.pending(ctx, q.Wait)
@@ -233,25 +230,37 @@
 	return peer.JobReply{Result: peer.Accepted, State: work.Cancelled, Queue: queue}
 }
 
-// state returns the state of a job. A job that has ended is waited for until the store has its end, so that its caller does not
-// have to ask again and again.
+// state returns the state of a job. It waits for the store to have the end of a job that has ended, so that its caller does not
+// have to ask again and again, and to have a new job, which may run although its caller got no answer.
 func (s *session) state(ctx context.Context, q peer.JobRequest) peer.JobReply {
 	var state work.State
 	var queue string
 	var err error
 	var version int
-	var ended bool
+	var unstored, isNew bool
+	var awaited *awaitedJob
 	look := func() {
 		state, queue, err = s.scheduler.State(q.ID)
-		version, ended = s.scheduler.EndsUnstored(q.ID)
+		version, unstored, isNew = s.scheduler.Unstored(q.ID)
 	}
-	s.locked(look)
-	if ended && q.Wait > 0 {
-		waiting, cancel := waitContext(ctx, min(q.Wait, maxStateWait))
+	s.locked(func() {
+		if look(); unstored && q.Wait > 0 {
+			awaited = s.awaited.join(q.ID)
+		}
+	})
+	if awaited != nil {
+		limit := maxStateWait
+		if isNew {
+			limit = q.Wait
+		}
+		waiting, cancel := waitContext(ctx, min(q.Wait, limit))
 		defer cancel()
-		s.awaitWritten(waiting, q.ID, version)
+		s.awaitWritten(waiting, awaited, q.ID, version)
 		s.locked(look)
 	}
+	if isNew {
+		return s.pending(ctx, q.Wait)
+	}
 	if err != nil {
 		return s.notFound()
 	}
