--- a/internal/sched/engine/overload_test.go
+++ b/internal/sched/engine/overload_test.go
@@ -58,7 +58,7 @@
 		o.t.Fatal(err)
 	}
 	o.due[j.ID] = o.sc.jobs[j.ID].deadline
-	o.useless[j.ID] = time.Now().Add(3 * o.due[j.ID].Sub(time.Now()))
+	o.useless[j.ID] = time.Now().Add(3 * time.Until(o.due[j.ID]))
 }
 
 // pass lets the workers report, starts what fits and counts the jobs that have ended.
