router, leader: Only a leader that the store confirms refuses jobs

Change: instances repeat nothing; a leader that the store has not confirmed for 2 s refuses nothing.

--- a/internal/serve/leader/overload.go
+++ b/internal/serve/leader/overload.go
@@ -50,9 +50,9 @@
 }
 
 // decide decides about a new job; s.mu must be held. An instance of an earlier build sets no deadline and does not know the
-// refusal.
+// refusal. A leader that the store has not confirmed lately refuses none: its successor may have accepted the job.
 func (s *session) decide(q peer.SubmitRequest) intake.Verdict {
-	if q.Deadline <= 0 {
+	if q.Deadline <= 0 || s.leadership.SinceConfirmed() >= authorityMaxAge {
 		return intake.Verdict{}
 	}
 	n := s.scheduler.Describe(q.Job)
--- a/internal/serve/leader/overload_test.go
+++ b/internal/serve/leader/overload_test.go
@@ -228,3 +228,31 @@
 		}
 	})
 }
+
+// Guards against a former leader that refuses a job which its successor may have accepted, because it has been cut off from the
+// store and does not know that it no longer leads.
+func TestCutOffLeaderDoesNotRefuse(t *testing.T) {
+	testClusterWith(t, func(o *leader.Options) { o.Delay = func() time.Duration { return 30 * time.Millisecond } }, func(c *cluster) {
+		e := c.leader()
+		large := smallJob(1)
+		large.Steps[0].Count = 4000
+		if reply := submitOnce(e, large); reply.Result != peer.Accepted {
+			t.Errorf("reply %+v", reply)
+		}
+		submit := func(id int) peer.Result {
+			return e.service.Load().Submit(context.Background(), peer.SubmitRequest{Job: smallJob(id), Version: 1,
+				Wait: 100 * time.Millisecond, Deadline: callerDeadline}).Result
+		}
+		time.Sleep(200 * time.Millisecond)
+		if r := submit(2); r != peer.Overloaded {
+			t.Errorf("the leader answers %q", r)
+		}
+		c.separate(e)
+		e.link.SetFaults(fakes.Faults{Down: true})
+		time.Sleep(2100 * time.Millisecond)
+		if r := submit(3); r == peer.Overloaded {
+			t.Errorf("the leader that was cut off answers %q", r)
+		}
+		e.link.SetFaults(fakes.Faults{})
+	})
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -27,9 +27,8 @@
 	maxReplyWait = 2 * replyWait
 	// callMargin is how much longer than the leader may wait its reply is waited for.
 	callMargin = callTimeout - replyWait
-	// overloadHold is how long this instance refuses jobs by itself after the leader has refused one of the same queue and
-	// customer.
-	overloadHold = 400 * time.Millisecond
+	// minRetryAfter is the least time after which a caller whose job the leader has refused may come back.
+	minRetryAfter = time.Second
 	// leaderWaitTimeout is how long a request waits for a leader before it is rejected. It is less than a quarter of
 	// the shortest objective that callers have, so that they can retry in time.
 	leaderWaitTimeout = 250 * time.Millisecond
@@ -89,8 +88,6 @@
 	// exitedAt is when the process of the leader of exitedTerm was last found to have exited.
 	exitedAt   time.Time
 	exitedTerm int64
-	// overloads are the leader's refusals of jobs within overloadHold.
-	overloads overloads
 	// ready is closed when the leader is found to be ready; nil while nobody waits for that.
 	ready chan struct{}
 }
@@ -224,9 +221,6 @@
 	if a.Access != nil {
 		j.Queue, j.Customer = "", ""
 	}
-	if err := r.overloads.check(j.Queue, j.Customer); err != nil {
-		return err
-	}
 	reply, unknown, err := forwardWithRetry(ctx, r, peer.MethodSubmit,
 		peer.SubmitRequest{Job: j, Version: a.Version, Access: a.Access}, r.local.Submit)
 	switch {
@@ -239,7 +233,8 @@
 		r.log.Warn("router: job refused after an attempt of unknown outcome, replying that its state is unknown",
 			zap.String("job", string(j.ID)), zap.String("verdict", string(reply.Result)))
 	case reply.Result == peer.Overloaded:
-		return r.overloads.add(j.Queue, j.Customer, reply.RetryAfter)
+		return reject.New(reject.KindOverload, reject.WorkNotRun, "more work than can be done in time").
+			WithRetryAfter(max(reply.RetryAfter, minRetryAfter))
 	case reply.Result == peer.Impossible:
 		return reject.New(reject.KindImpossible, reject.WorkNotRun, "the job can never run")
 	default:
