engine: A machine is not empty while ends of its runs are not stored

Suspected cause, from reading: an overloaded leader counts a run as over when the worker lists its end, and moves the machine before the end is stored; with a change of leader in between nobody knows of the end. TestUsageOfWorkerWithUnstoredEnds failed before (Runs 0 with an end that is not stored).

--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -119,7 +119,8 @@
 	Known bool
 	// Ended means that nothing runs on the worker any more, or that the scheduler does not have it.
 	Ended bool
-	// Runs counts the runs that may exist on the worker.
+	// Runs counts the runs that may exist on the worker, and those whose ends the store does not have: only the worker can tell
+	// the next leader of these.
 	Runs int
 	// LongRunning counts the runs of long-running tasks among them.
 	LongRunning int
@@ -136,7 +137,7 @@
 		return WorkerUsage{Ended: true}
 	}
 	now := time.Now()
-	o := WorkerUsage{Known: w.confirmed, Runs: len(w.runs), Leaving: w.Leaving}
+	o := WorkerUsage{Known: w.confirmed, Runs: len(w.runs) + len(w.unackedEnds), Leaving: w.Leaving}
 	for _, r := range w.runs {
 		switch {
 		case r.stepState == nil:
--- a/internal/sched/engine/usage_test.go
+++ b/internal/sched/engine/usage_test.go
@@ -25,3 +25,30 @@
 		t.Errorf("after the worker's end: %+v", r)
 	}
 }
+
+// Guards against moving a machine whose worker still lists ends that are not stored: if the leader then loses leadership, its
+// successor never learns of them and starts the tasks again.
+func TestUsageOfWorkerWithUnstoredEnds(t *testing.T) {
+	sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}},
+		[]work.Worker{{ID: "w1", Pool: "p", Capacity: work.Need{CPU: 1}}})
+	j := work.Job{ID: "00000000000000aa", Queue: "q", Accepted: time.Now().UnixMilli(),
+		Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 1}}, {Count: 1, Need: work.Need{CPU: 1}, After: []int{0}}}}
+	if _, err := sc.Submit(j); err != nil {
+		t.Fatal(err)
+	}
+	store(t, sc)
+	start, ok := sc.Commands()[0].(Start)
+	if !ok {
+		t.Fatal("no start")
+	}
+	sc.HandleOutcome(start, Applied, time.Now())
+	sc.HandleRenewal(Renewal{Worker: "w1"}, work.RenewalReply{Incarnation: 1, Ended: []work.End{{Number: 1, Run: start.Run,
+		How: work.Done}}}, time.Now())
+	if r := sc.Usage("w1"); r.Runs != 1 {
+		t.Errorf("with an end that is not stored: %+v", r)
+	}
+	store(t, sc)
+	if r := sc.Usage("w1"); r.Runs != 0 {
+		t.Errorf("with all ends stored: %+v", r)
+	}
+}
