logbuf: The test waits until the writer blocks

The test now writes the other lines once the first write blocks, and demands exactly the line in that write and the buffered ones. 50 of 50 runs with the race detector pass.

--- a/internal/model/logbuf/logbuf_test.go
+++ b/internal/model/logbuf/logbuf_test.go
@@ -9,14 +9,17 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/logbuf"
 )
 
-// blockedWriter is a writer whose writes block until unblock is closed.
+// blockedWriter is a writer whose writes block until unblock is closed; entered is closed when the first one blocks.
 type blockedWriter struct {
 	unblock chan struct{}
+	entered chan struct{}
+	once    sync.Once
 	mu      sync.Mutex
 	text    bytes.Buffer
 }
 
 func (w *blockedWriter) Write(b []byte) (int, error) {
+	w.once.Do(func() { close(w.entered) })
 	<-w.unblock
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -26,19 +29,22 @@
 // TestWriteNeverBlocks guards against a Write that blocks while the log can't be written, and against lines that are
 // dropped without being reported.
 func TestWriteNeverBlocks(t *testing.T) {
-	to := &blockedWriter{unblock: make(chan struct{})}
-	w := logbuf.New(to, 4)
-	const lines = 100
-	for range lines {
+	to := &blockedWriter{unblock: make(chan struct{}), entered: make(chan struct{})}
+	const buffered, lines = 4, 100
+	w := logbuf.New(to, buffered)
+	for i := range lines {
 		if n, err := w.Write([]byte("line\n")); n != 5 || err != nil {
 			t.Fatalf("%d, %v", n, err)
 		}
+		if i == 0 {
+			<-to.entered
+		}
 	}
 	close(to.unblock)
 	w.Close()
 	text := to.text.String()
 	kept := strings.Count(text, "line\n")
-	if kept < 4 || kept > 6 {
+	if kept != 1+buffered {
 		t.Errorf("%d lines kept", kept)
 	}
 	if !strings.Contains(text, `"msg":"log: lines dropped"`) {
