--- a/internal/serve/leader/overload.go
+++ b/internal/serve/leader/overload.go
@@ -40,7 +40,7 @@
 
 // observeLoad tells the intake what this process has to do and how fast it does it; s.mu must be held.
 func (s *session) observeLoad() {
-	l := intake.Load{StartRate: s.startRate.perSecond(), Backlog: s.scheduler.Backlog(), Commit: s.transactions.duration()}
+	l := intake.Load{StartRate: s.startRate.perSecond(), Backlog: s.scheduler.Backlog(), Commit: time.Duration(s.commitTook.Load())}
 	if s.service.Delay != nil {
 		l.Delay = s.service.Delay()
 	}
--- a/internal/serve/leader/overload_test.go
+++ b/internal/serve/leader/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,8 +91,11 @@
 // that are accepted and have no result in time, against callers who learn late that theirs is not, and against a leader that
 // goes on refusing when the turn is over.
 func TestSurplusIsRefusedAtOnce(t *testing.T) {
-	delay := 30 * time.Millisecond
-	testClusterWith(t, func(o *leader.Options) { o.Delay = func() time.Duration { return delay } }, func(c *cluster) {
+	var delay atomic.Int64
+	delay.Store(int64(30 * time.Millisecond))
+	testClusterWith(t, func(o *leader.Options) {
+		o.Delay = func() time.Duration { return time.Duration(delay.Load()) }
+	}, func(c *cluster) {
 		e := c.leader()
 		const jobs, tasks = 400, 10
 		submit := func(id int) peer.JobReply {
@@ -124,7 +128,7 @@
 		if longest > 100*time.Millisecond {
 			t.Errorf("a refusal took %v", longest)
 		}
-		delay = 0
+		delay.Store(0)
 		time.Sleep(time.Second)
 		if reply := submit(1 << 20); reply.Result != peer.Accepted {
 			t.Errorf("reply %+v after the surge", reply)
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -74,6 +74,8 @@
 	transactions txLog
 	// storedVersion is the store's version after the last transaction of the commit loop.
 	storedVersion atomic.Uint64
+	// commitTook is how long that transaction took, in nanoseconds.
+	commitTook atomic.Int64
 
 	authorityMu sync.Mutex
 	// authorityUntil is when the authority to send commands ends unless it is confirmed again before.
@@ -105,7 +107,7 @@
 		waves: map[int64]*waveState{}, changedWaves: map[int64]bool{},
 		operations: newOperationLog(s.Clock, s.Moves.TakeoverPause+operationTTL, s.Log),
 		planWake:   make(chan struct{}, 1), commitWake: make(chan struct{}, 1), renewalWake: make(chan struct{}, 1),
-		results: resultQueue{wake: make(chan struct{}, 1)}, done: make(chan struct{}), transactions: txLog{log: s.Log, last: new(atomic.Int64)},
+		results: resultQueue{wake: make(chan struct{}, 1)}, done: make(chan struct{}), transactions: txLog{log: s.Log},
 		requests: newRequestLog(), rows: rows,
 	}
 }
@@ -286,6 +288,7 @@
 			return err
 		}
 		s.storedVersion.Store(s.leadership.Version())
+		s.commitTook.Store(int64(time.Since(began)))
 		s.observeCommit(time.Since(began))
 		s.service.observe("store_commit_ms", began)
 		s.transactions.record(batch, len(writes)+len(others), s.rows.Rows(), began, queued)
--- a/internal/serve/leader/txlog.go
+++ b/internal/serve/leader/txlog.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,8 +23,6 @@
 	// waited for others of the leader.
 	transactions, rows, changes int
 	longest, queued             time.Duration
-	// last is how long the last transaction took, in nanoseconds.
-	last *atomic.Int64
 	// oldestJob is the longest time from the acceptance of a job to the transaction with its record.
 	oldestJob time.Duration
 }
@@ -35,7 +32,6 @@
 func (l *txLog) record(batch engine.Batch, rows, logRows int, began time.Time, queued time.Duration) {
 	now := time.Now()
 	took := now.Sub(began)
-	l.last.Store(int64(took))
 	if took >= slowCommit {
 		l.log.Warn("leader: store transaction was slow", zap.Duration("took", took), zap.Duration("queued", queued),
 			zap.Int("rows", rows), zap.Int("changes", len(batch.Writes)), zap.Int("bytes", batch.Size()))
@@ -55,8 +51,5 @@
 		zap.Duration("longest", l.longest), zap.Duration("queued", l.queued), zap.Duration("oldest", l.oldestJob),
 		zap.Int("new", batch.NewJobs), zap.Int("left", batch.Left),
 		zap.Int("ended", batch.Ended), zap.Int("leftEnded", batch.LeftEnded), zap.Int("unacknowledged", batch.Unacknowledged))
-	*l = txLog{log: l.log, since: now, last: l.last}
+	*l = txLog{log: l.log, since: now}
 }
-
-// duration returns how long the last transaction took; it is safe for concurrent use.
-func (l *txLog) duration() time.Duration { return time.Duration(l.last.Load()) }
