--- a/internal/plat/hedge/hedge_test.go
+++ b/internal/plat/hedge/hedge_test.go
@@ -57,7 +57,7 @@
 		if _, err := Do(t.Context(), p, conclusive, s.call); err != nil {
 			t.Fatal(err)
 		}
-		if took := time.Since(began); took > 400*time.Millisecond {
+		if took := time.Since(began); took > 200*time.Millisecond {
 			t.Errorf("took %v with two lost replies", took)
 		}
 	})
