review: Case 1 plays more scheduled jobs

Cause: how many occurrences end between the kill and the takeover depends on how long that takes.

Change: 32 jobs, 100 ms after one another, in place of 16.

--- a/review/stand/timed.go
+++ b/review/stand/timed.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	timedJobs     = 16
+	timedJobs     = 32
 	timedRounds   = 3
 	timedInterval = 7 * time.Second
 	timedWork     = 2 * time.Second
 	// timedStagger is the time between the due times of two jobs.
-	timedStagger = 200 * time.Millisecond
+	timedStagger = 100 * time.Millisecond
 )
 
 // playTimed runs scheduled jobs of one task and three occurrences each. The disruption is the kill of the process that last
