review: Case 2 judges RECOVER over all requests

Cause: the play showed that tasks of the large job do start now and then between two terms, so that the claim about idle workers was wrong, and that accepted jobs sometimes get an answer.

Change: the rule is RECOVER; 48 jobs are handed in from recoveryS on, and the answers to GETs count as served.

--- a/review/stand/large.go
+++ b/review/stand/large.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,8 +18,8 @@
 	// recoveryTime is recoveryS, finishTime finish_s.
 	recoveryTime = 12 * time.Second
 	finishTime   = 14 * time.Second
-	// smallJobs are handed in before and after the disruption.
-	smallJobs = 12
+	// smallBefore and smallAfter jobs are handed in before and after the disruption.
+	smallBefore, smallAfter = 12, 48
 )
 
 // playLarge runs a large job whose tasks save their progress, and small jobs before and after the disruption: all entry
@@ -40,9 +39,9 @@
 	}
 	starts, _ := d.fleet.history()
 	d.record.say("%d of %d tasks of the large job have started", len(starts), largeSteps*largeCount)
-	before := d.submitSmall("05")
+	before := d.submitSmall("05", smallBefore)
 	time.Sleep(3 * time.Second)
-	d.record.say("before the disruption: %d of %d small jobs accepted", before, smallJobs)
+	d.record.say("before the disruption: %d of %d small jobs accepted", before, smallBefore)
 	if trouble {
 		if err := d.losePower(downTime); err != nil {
 			return false, err
@@ -52,37 +51,23 @@
 	}
 	time.Sleep(recoveryTime)
 	d.record.log("terms of leadership so far: %d", d.terms())
-	after := d.submitSmall("06")
-	d.record.say("later than recoveryS after the machines are back: %d of %d small jobs accepted", after, smallJobs)
+	after := d.submitSmall("06", smallAfter)
+	d.record.say("later than recoveryS after the machines are back: %d of %d small jobs accepted", after, smallAfter)
 	time.Sleep(finishTime)
-	known, completed := 0, 0
-	for i := range smallJobs {
-		status, text := d.ask(i, smallID("05", i))
-		if status == http.StatusOK {
+	known := 0
+	for i := range smallBefore {
+		if status, _ := d.ask(i, smallID("05", i)); status == http.StatusOK {
 			known++
 		}
-		if strings.Contains(text, "completed") {
-			completed++
-		}
-	}
-	status, text := d.ask(1, largeJob)
-	d.record.say("finish_s after the end of the traffic: of the small jobs before the disruption %d are known, %d completed; large job: %d %s; terms of leadership: %d",
-		known, completed, status, text, d.terms())
-	quiet := d.quiet()
-	broken := false
-	if before*4 >= smallJobs && after*4 < smallJobs {
-		d.record.say("RECOVER: less than a quarter of the requests later than recoveryS is served")
-		broken = true
-	}
-	if known < before || status != http.StatusOK {
-		d.record.say("LOST: an accepted job isn't known or gets no answer in time")
-		broken = true
 	}
-	if quiet {
-		d.record.say("LOST: for 4 s, finish_s after the end of the traffic, nothing of the large job has run while all workers are idle")
-		broken = true
+	served, requests := after+known, smallAfter+smallBefore
+	d.record.say("finish_s after the end of the traffic: %d of %d jobs from before the disruption are known; terms of leadership: %d",
+		known, before, d.terms())
+	if before*4 >= smallBefore && served*4 < requests {
+		d.record.say("RECOVER: %d of %d requests later than recoveryS are served", served, requests)
+		return true, nil
 	}
-	return broken, nil
+	return false, nil
 }
 
 // ask asks for the state of a job, at the next instance after no answer and 503.
@@ -98,11 +83,11 @@
 func smallID(group string, i int) string { return fmt.Sprintf("00000000000%s%03x", group, i) }
 
 // submitSmall hands small jobs in and returns how many were accepted.
-func (d *deployment) submitSmall(group string) int {
+func (d *deployment) submitSmall(group string, count int) int {
 	body := bodyOf(plan{WorkMS: []int64{500}}, step{Count: 1, CPU: 500, Memory: 500, EstimateMS: 500})
 	var accepted atomic.Int64
 	var consumers sync.WaitGroup
-	for i := range smallJobs {
+	for i := range count {
 		consumers.Go(func() {
 			if d.submit(i, smallID(group, i), body) {
 				accepted.Add(1)
