review: The instances' ports lie below those of outgoing connections

Cause: an outgoing connection could take a port while an instance is down.

Change: ports from 20000 to 32000.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -117,9 +117,12 @@
 
 func ipOf(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
 
+// Ports below those that systems choose for outgoing connections, which could take them before an instance listens again.
+const firstPort, lastPort, portStep = 20000, 32000, 20
+
 // freePorts returns the first of ports that are free on the addresses of all instances.
 func freePorts(instances int) (int, error) {
-	for port := 20000 + os.Getpid()%1000*20; port < 60000; port += 20 {
+	for port := firstPort + os.Getpid()%500*portStep; port < lastPort; port += portStep {
 		free := true
 		for i := range instances {
 			for p := port; p < port+4 && free; p++ {
