engine: Reports of a former leader's rounds open them

Cause: a round is opened in memory when it is due, and the number of opened rounds is stored with the next end of a task only. A new leader reads the workers' lists some 10 ms after the takeover and opens the due round at its first tick, 100 ms later. Until then ends of the round were dropped and acknowledged, and its runs were stopped as unknown.

Why this works: only a former leader can have started a task of a round that this leader has not opened, so the report itself is the proof that the round was opened. Starts of the other tasks still wait until the round is due.

--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -176,6 +176,15 @@
 	}
 }
 
+// openNextRound opens the next round of a job that may run. Its tasks start when the round is due.
+func (sc *Scheduler) openNextRound(j *job) {
+	r := j.openedRounds
+	sc.openRound(j)
+	for i := range j.Steps {
+		sc.enqueue(j.stepStates[stepKey{r, i}])
+	}
+}
+
 // enqueue adds a step to its pool's ready steps if tasks of it wait, the steps it depends on are complete, and its job
 // is stored and has not ended.
 func (sc *Scheduler) enqueue(s *stepState) {
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -248,7 +248,7 @@
 	r := &run{key: a.Run, worker: w, phase: active, startedAt: now, phaseSince: now, adopted: true, percent: a.Percent,
 		throttle: a.Percent}
 	w.runs[a.Run] = r
-	s := sc.findStep(a.Run.Task)
+	s := sc.stepOfReport(a.Run.Task)
 	if s == nil {
 		w.unknownRuns++
 		sc.requestStop(r, "no such task in an open round")
@@ -289,6 +289,20 @@
 	return s
 }
 
+// stepOfReport returns the step of a task that a worker reports, or nil as findStep does. A former leader may have opened
+// rounds after it last stored the job's progress; the report of a task in such a round opens it and those before it.
+func (sc *Scheduler) stepOfReport(t work.TaskID) *stepState {
+	j, ok := sc.jobs[t.Job]
+	if ok && j.restored && !j.state.Final() && j.openedRounds <= t.Round && t.Round < j.Rounds() {
+		sc.log.Info("engine: opening rounds that a former leader opened", zap.Stringer("task", t),
+			zap.Int("opened", j.openedRounds))
+		for j.openedRounds <= t.Round {
+			sc.openNextRound(j)
+		}
+	}
+	return sc.findStep(t)
+}
+
 // handleEnds handles the ended runs that are new.
 func (sc *Scheduler) handleEnds(w *worker, list []work.End) {
 	for _, e := range list {
@@ -310,7 +324,7 @@
 // handleEnd releases an ended run and updates its task unless the job has ended.
 func (sc *Scheduler) handleEnd(w *worker, e work.End) {
 	r := w.runs[e.Run]
-	s := sc.findStep(e.Run.Task)
+	s := sc.stepOfReport(e.Run.Task)
 	sc.log.Info("engine: run ended", zap.Stringer("task", e.Run.Task), zap.Int64("run", e.Run.Number),
 		zap.String("worker", string(w.ID)), zap.String("how", string(e.How)))
 	sc.logGivenUp(w, e.Run, string(e.How))
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -418,10 +418,7 @@
 	sc.forgetEnded(now)
 	for _, j := range sc.unfinished {
 		if j.Repeats > 0 && j.openedRounds < j.Rounds() && !now.Before(time.UnixMilli(j.Due(j.openedRounds))) {
-			sc.openRound(j)
-			for _, s := range j.stepStates {
-				sc.enqueue(s)
-			}
+			sc.openNextRound(j)
 		}
 	}
 }
