engine: One ticket request at a time, chosen when the last is answered

Cause: every waiting step made a request in one planning pass, the requests queued in the process for an authorizer that handles one call at a time, and the validity of a ticket counted from the planning. Once the queue was longer than the validity, every ticket had expired when it came, and its step asked again at the end of the same queue.

Why this works: a request is made only when the last one has been answered, so that it does not wait after its time has begun to count. Steps that may start come first, then urgent queues, then the one that has waited longest since its last request, so that a step with tickets that it can't use does not keep the others from theirs. The same cause on related paths: a request names as many workers as a call can take in a quarter of the validity, fresh tickets are tried once even if the call took longer than they are valid, a gang asks until its members have workers, and a call without a reply delays all others.

--- a/internal/sched/engine/candidates_test.go
+++ b/internal/sched/engine/candidates_test.go
@@ -140,9 +140,7 @@
 	for _, e := range sc.rankSteps(p, sc.waitingSteps(p, now), now) {
 		s, eligible := e.state, workers
 		if sc.queueOf(s.job).NeedsTicket {
-			if req, ok := sc.ticketRequest(s, workers, now); ok {
-				commands = append(commands, req)
-			}
+			sc.noteTicketNeed(s, workers, now)
 			eligible = slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
 				_, ok := s.ticket(w.ID, now)
 				return !ok
@@ -170,6 +168,14 @@
 	return sc.placeTasks(s, newCandidates(work.Need{}), eligible, now)
 }
 
+// appendTicketRequest appends the ticket request that ends a planning pass.
+func appendTicketRequest(sc *Scheduler, commands []Command, now time.Time) []Command {
+	if req, ok := sc.ticketRequest(now); ok {
+		return append(commands, req)
+	}
+	return commands
+}
+
 func drawNeed(t *rapid.T, most int64, name string) work.Need {
 	return work.Need{CPU: rapid.Int64Range(0, most).Draw(t, name+" cpu"),
 		Memory: rapid.Int64Range(0, most).Draw(t, name+" memory"), GPU: rapid.Int64Range(0, 1).Draw(t, name+" gpu")}
@@ -237,6 +243,7 @@
 			t.Fatalf("steps are not in the order of their ranks: %v", ranked)
 		}
 		got, want := bounded.placeWaiting(bounded.pool("p"), now), placeWithoutBound(reference, reference.pool("p"), now)
+		got, want = appendTicketRequest(bounded, got, now), appendTicketRequest(reference, want, now)
 		for _, list := range [][]Command{got, want} {
 			clearLeaseEnds(list)
 		}
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -90,6 +90,8 @@
 	// stopping are the runs that are to be stopped.
 	stopping map[work.RunKey]*run
 	pending  pendingStarts
+	// ticketCalls is the state of the calls to the authorizer.
+	ticketCalls ticketCalls
 	// short means that the process is short of processor time.
 	short bool
 	// comparisons counts the comparisons of a waiting step with a worker's free capacity.
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -27,10 +27,13 @@
 		}
 	}
 	sc.pending.held = !sc.pending.allow()
+	if req, ok := sc.ticketRequest(now); ok {
+		commands = append(commands, req)
+	}
 	return commands
 }
 
-// placeWaiting starts waiting tasks of a pool in the order of their rank and requests the tickets that they need.
+// placeWaiting starts waiting tasks of a pool in the order of their rank and notes which steps may need tickets.
 func (sc *Scheduler) placeWaiting(p *pool, now time.Time) []Command {
 	waiting := sc.waitingSteps(p, now)
 	if len(waiting) == 0 {
@@ -67,9 +70,7 @@
 			late++
 		}
 		if sc.queueOf(s.job).NeedsTicket {
-			if req, ok := sc.ticketRequest(s, eligible, now); ok {
-				commands = append(commands, req)
-			}
+			sc.noteTicketNeed(s, eligible, now)
 			eligible = slices.DeleteFunc(slices.Clone(eligible), func(w *worker) bool {
 				_, ok := s.ticket(w.ID, now)
 				return !ok
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -197,7 +197,8 @@
 		case "queue":
 			s.config.Queues = append(s.config.Queues, work.Queue{Name: m["name"], Pool: m["pool"],
 				Attempts: int(s.number(m["attempts"])), Stretch: 1, Objective: s.duration(m["objective"]),
-				Priority: int(s.number(m["priority"])), NeedsTicket: needsTicket(m)})
+				Priority: int(s.number(m["priority"])), NeedsTicket: needsTicket(m), TicketCallTime: s.duration(m["decide"]),
+				TicketWorkerTime: s.duration(m["each"]), TicketTTL: s.duration(m["valid"])})
 		case "customer":
 			s.config.Customers[m["name"]] = work.Customer{Name: m["name"], Cap: s.need(m),
 				Weight: float64(s.number(m["weight"]))}
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -76,11 +76,8 @@
 	return n
 }
 
-// authorize requests tickets for one step from the authorizer. The authorizer handles one call of an instance at a time
-// and queues only a few, so the requests queue here.
+// authorize requests tickets for one step from the authorizer.
 func (s *session) authorize(ctx context.Context, r engine.TicketRequest) {
-	s.authorizing.Lock()
-	defer s.authorizing.Unlock()
 	var tickets []engine.Ticket
 	var validFor time.Duration
 	err := errNoAuthorizer
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -57,9 +57,7 @@
 	awaited   awaitedJobs
 	renewals  renewalQueue
 	// committed is closed and replaced after each successful commit, also one without a transaction.
-	committed chan struct{}
-	// authorizing serializes the calls to the authorizer.
-	authorizing  sync.Mutex
+	committed    chan struct{}
 	steppingDown bool
 	// handingOver means that a peer may acquire leadership at any moment, because it is being offered to it.
 	handingOver bool
