router, leader: A job that the leader keeps is not refused for its key

Cause: an instance whose rules are out of date leaves the check of the key to the leader, and asks again each 0.6 s while the store is slow. If the key or the queue was withdrawn in between, the second request was rejected, and the instance passed that on as final, although the leader had kept the job since the first request and stored it.

Why this works: after the leader has said that it keeps a request, a rejection says nothing about the first one, so that the outcome is unknown; only 'overloaded' is final, which the leader says of jobs that it does not keep. The leader does not check the same access of a job that waits for the store again, so that the caller gets its 200. Cancellations had the same fault. A line of the log names jobs that are stored when no request waits for them.

--- a/internal/serve/leader/config_test.go
+++ b/internal/serve/leader/config_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/yuccahaven/yuccahaven/internal/lab/fakes"
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
@@ -84,3 +85,37 @@
 		}
 	})
 }
+
+// Guards against a refusal of a job that the leader keeps, and that runs: its key is withdrawn while it waits for a slow store,
+// and its instance, whose rules are out of date, asks again.
+func TestKeyWithdrawnWhileJobIsStored(t *testing.T) {
+	testClusterOf(t, 1, func(*leader.Options) {}, func(c *cluster) {
+		queues := []work.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 3, Stretch: 2, Objective: time.Second}}
+		configure := func(version int64, keys ...string) {
+			c.rules.Configure(work.NewConfig(work.Config{Version: version, Queues: queues,
+				Customers: map[string]work.Customer{"c": {Name: "c", Keys: keys}}}))
+		}
+		configure(2, "k")
+		s := c.leader().service.Load()
+		c.entries[0].link.SetFaults(fakes.Faults{Delay: 890 * time.Millisecond})
+		submit := func(id work.JobID) peer.JobReply {
+			return s.Submit(context.Background(), peer.SubmitRequest{Version: 2, Wait: 300 * time.Millisecond, Deadline: 2 * time.Second,
+				Access: &peer.Access{Queue: "q", Host: "h", Path: "/q/a", Key: "k", Version: 2}, Job: work.Job{ID: id,
+					Accepted: time.Now().UnixMilli(), Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 10}}}}})
+		}
+		if got := submit("00000000000000a1"); !got.IsPending() {
+			t.Fatalf("with a slow store: answered %+v", got)
+		}
+		configure(3)
+		reply := submit("00000000000000a1")
+		for reply.IsPending() {
+			reply = submit("00000000000000a1")
+		}
+		if reply.Result != peer.Accepted {
+			t.Errorf("asked again after the key was withdrawn: answered %q", reply.Result)
+		}
+		if got := submit("00000000000000a2"); got.Result != peer.WrongKey {
+			t.Errorf("another job with the withdrawn key: answered %q", got.Result)
+		}
+	})
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -172,7 +172,11 @@
 	if q.Access != nil {
 		customer, result := s.checkAccess(*q.Access)
 		if result != peer.Accepted {
-			return peer.JobReply{Result: result}
+			// The instance that asks again for a job that waits for the store was told that it is kept.
+			var admitted bool
+			if customer, admitted = ss.admittedAs(q.Job.ID, *q.Access); !admitted {
+				return peer.JobReply{Result: result}
+			}
 		}
 		q.Job.Queue, q.Job.Customer = q.Access.Queue, customer
 	}
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -294,7 +294,11 @@
 	}
 	s.mu.Lock()
 	s.scheduler.HandleCommit(batch)
-	batch.Jobs(s.awaited.stored)
+	batch.Jobs(func(id work.JobID) {
+		if s.awaited.stored(id) {
+			s.log.Info("leader: job stored, no request waits for it any more", zap.String("job", string(id)))
+		}
+	})
 	s.operations.confirm()
 	close(s.committed)
 	s.committed = make(chan struct{})
--- a/internal/serve/leader/submit.go
+++ b/internal/serve/leader/submit.go
@@ -30,6 +30,9 @@
 	left time.Time
 	// changed is closed and replaced when the store has a newer version of the job.
 	changed chan struct{}
+	// access and customer are those with which the job was admitted, if this process checked that.
+	access   peer.Access
+	customer string
 }
 
 // awaitedJobs are the jobs that requests wait, or have waited, to be stored.
@@ -56,17 +59,28 @@
 	w.left = time.Now()
 }
 
-// stored wakes the requests that wait for a job.
-func (a awaitedJobs) stored(id work.JobID) {
+// stored wakes the requests that wait for a job, and reports whether requests did and none does any more.
+func (a awaitedJobs) stored(id work.JobID) (abandoned bool) {
 	w, ok := a[id]
 	if !ok {
-		return
+		return false
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 	if w.requests == 0 {
 		delete(a, id)
 	}
+	return w.requests == 0
+}
+
+// admittedAs returns the customer for whom a job that is not stored yet was admitted with the same access.
+func (s *session) admittedAs(id work.JobID, a peer.Access) (customer string, ok bool) {
+	s.locked(func() {
+		if w := s.awaited[id]; w != nil && w.access == a {
+			customer, ok = w.customer, true
+		}
+	})
+	return customer, ok
 }
 
 // withdrawAbandoned withdraws the jobs that no request has waited for lately and that no transaction has held; s.mu must be
@@ -137,6 +151,9 @@
 		}
 		if version, err = s.scheduler.Submit(j); err == nil {
 			awaited = s.awaited.join(j.ID)
+			if q.Access != nil {
+				awaited.access, awaited.customer = *q.Access, j.Customer
+			}
 		}
 		behind = s.scheduler.Version() < q.Version
 		machinesUnknown = s.service.Machines != nil && !s.scheduler.KnowsMachines()
--- a/internal/serve/router/forward.go
+++ b/internal/serve/router/forward.go
@@ -39,7 +39,8 @@
 // forwardWithRetry forwards a request to the leader. A request that has not reached a leader within leaderWaitTimeout
 // is rejected as not run; one that may have reached a leader is retried, which is safe, until shortly before the
 // context's deadline, and so is one for which the leader waits for the store. An isolated instance does neither, so that the
-// caller can try another one. It also reports whether an attempt before the answered one had an unknown outcome.
+// caller can try another one. It also reports whether an attempt before the answered one had an unknown outcome; that
+// the leader kept the request is one.
 func forwardWithRetry[Q peer.Message, A leaderReply](ctx context.Context, r *Router, m peer.Method[Q, A], q Q,
 	local func(context.Context, Q) A) (A, bool, error) {
 	began := time.Now()
@@ -74,7 +75,8 @@
 		case err == nil && reply.Outcome() == peer.Unknown:
 			unknown = true
 		case err == nil && reply.Outcome() != peer.NotLeader:
-			return reply, unknown, nil
+			// Only a leader that is overloaded says that it does not keep the request any more.
+			return reply, unknown || pending && reply.Outcome() != peer.Overloaded, nil
 		case err != nil:
 			lastErr = err
 		}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -273,9 +273,9 @@
 
 // Cancel cancels a job and returns when that is stored.
 func (r *Router) Cancel(ctx context.Context, a Admission, id work.JobID) error {
-	reply, _, err := forwardWithRetry(ctx, r, peer.MethodJob, peer.JobRequest{ID: id, Cancel: true, Access: a.Access},
+	reply, unknown, err := forwardWithRetry(ctx, r, peer.MethodJob, peer.JobRequest{ID: id, Cancel: true, Access: a.Access},
 		r.local.Job)
-	if err == nil {
+	if err == nil && !unknown {
 		err = rejectionOf(reply.Result)
 	}
 	if err != nil {
