platform: Soak of scheduled jobs, gangs and jobs that need tickets

TestSoak submits plain jobs only. TestSoakKinds plays the other kinds around the loss of the leader, a slow store, and keys that are withdrawn and granted again, with the checks of TestSoak and three more: no start before its time, before the step before has completed, or without a valid ticket. Its workers run gangs as the platform does, and every rejection counts, 401, 404 and 400 too.

--- a/internal/lab/fakes/workers.go
+++ b/internal/lab/fakes/workers.go
@@ -20,8 +20,10 @@
 	random       *rand.Rand
 	byID         map[work.WorkerID]*fakeWorker
 	acknowledged map[work.TaskID]bool
-	failures     map[work.TaskID]int
-	started      map[work.TaskID]bool
+	// completed are the tasks that have ended successfully.
+	completed map[work.TaskID]bool
+	failures  map[work.TaskID]int
+	started   map[work.TaskID]bool
 	// runTime is how long a run takes, 0 for a random time of at most 1.7 s.
 	runTime    time.Duration
 	Faults     WorkerFaults
@@ -49,16 +51,27 @@
 	// highestRun holds the highest run number of each task that was stopped or ended.
 	highestRun     map[work.TaskID]int64
 	unacknowledged []work.End
-	lastEnd        int64 // number of the latest end
-	down           bool
-	unreachable    bool
-	changed        chan struct{} // closed and replaced when a run ends
+	// plans are those of the jobs of which tasks have started here.
+	plans       map[work.JobID]Plan
+	lastEnd     int64 // number of the latest end
+	down        bool
+	unreachable bool
+	changed     chan struct{} // closed and replaced when a run ends
 }
 
 type fakeRun struct {
 	number int64
 	endsAt time.Time
 	fails  bool
+	plan   Plan
+	// startedAt is when the run started; assembled means that all members of its gang have.
+	startedAt time.Time
+	assembled bool
+}
+
+// isAlone reports whether a run has waited in vain for the other members of its gang.
+func (r *fakeRun) isAlone() bool {
+	return r.plan.Gang && !r.assembled && time.Since(r.startedAt) > gangWait
 }
 
 // slowClock is the rate of a worker's clock relative to real time, the slowest that leases allow for.
@@ -67,7 +80,7 @@
 // NewWorkers returns workers whose faults and run times are drawn from a seeded random source.
 func NewWorkers(seed uint64, workers ...work.Worker) *Workers {
 	set := &Workers{random: rand.New(rand.NewPCG(seed, 1)), byID: map[work.WorkerID]*fakeWorker{},
-		acknowledged: map[work.TaskID]bool{}, failures: map[work.TaskID]int{}, started: map[work.TaskID]bool{}}
+		acknowledged: map[work.TaskID]bool{}, completed: map[work.TaskID]bool{}, failures: map[work.TaskID]int{}, started: map[work.TaskID]bool{}}
 	for _, w := range workers {
 		set.byID[w.ID] = newFakeWorker(w)
 	}
@@ -77,7 +90,7 @@
 func newFakeWorker(w work.Worker) *fakeWorker {
 	w.Incarnation = time.Now().UnixMilli()
 	return &fakeWorker{worker: w, startedAt: time.Now(), runs: map[work.TaskID]*fakeRun{},
-		highestRun: map[work.TaskID]int64{}, changed: make(chan struct{})}
+		highestRun: map[work.TaskID]int64{}, plans: map[work.JobID]Plan{}, changed: make(chan struct{})}
 }
 
 // List returns the workers that are up, as the platform lists them.
@@ -118,8 +131,14 @@
 func (w *Workers) Crash(id work.WorkerID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.byID[id].down = true
-	w.byID[id].runs = map[work.TaskID]*fakeRun{}
+	f := w.byID[id]
+	f.down = true
+	for t, r := range f.runs {
+		if r.plan.Gang {
+			w.endGang(t, r.number, work.GangMemberEnded)
+		}
+	}
+	f.runs = map[work.TaskID]*fakeRun{}
 }
 
 // Restart starts a worker again under its ID, as a new incarnation without the state of the former one.
@@ -171,6 +190,11 @@
 	expiry := f.startedAt.Add(time.Duration(float64(f.leaseEnd)/slowClock) * time.Millisecond)
 	for t, r := range f.runs {
 		switch {
+		case f.runs[t] != r:
+			// Another member of its gang has ended.
+		case r.isAlone():
+			w.endRun(f, t, r, work.GangIncomplete)
+		case r.plan.Gang && !r.assembled:
 		case r.endsAt.Before(expiry) && !r.endsAt.After(time.Now()):
 			how := work.Done
 			if r.fails {
@@ -183,7 +207,18 @@
 	}
 }
 
+// endRun ends a run, and the other members of its gang.
 func (w *Workers) endRun(f *fakeWorker, t work.TaskID, r *fakeRun, how work.Ending) {
+	w.recordEnd(f, t, r, how)
+	if r.plan.Gang {
+		w.endGang(t, r.number, how)
+	}
+}
+
+func (w *Workers) recordEnd(f *fakeWorker, t work.TaskID, r *fakeRun, how work.Ending) {
+	if how == work.Done {
+		complete(w.completed, t, r.plan)
+	}
 	delete(f.runs, t)
 	f.highestRun[t] = max(f.highestRun[t], r.number)
 	f.lastEnd++
@@ -267,6 +302,12 @@
 		f.leaseEnd = max(f.leaseEnd, c.LeaseEnd)
 		return engine.Outdated
 	}
+	plan := planOf(c.Spec)
+	f.plans[t.Job] = plan
+	if plan.Ticket && !isValidTicket(c.Ticket, t, f.worker.ID) {
+		return engine.TicketRequired
+	}
+	w.checkOrder(t, plan)
 	w.Started++
 	w.started[t] = true
 	for id, other := range w.byID {
@@ -284,7 +325,7 @@
 			fmt.Sprintf("%s: run %d at %s after an acknowledged end", t, c.Run.Number, f.worker.ID))
 	}
 	f.leaseEnd = max(f.leaseEnd, c.LeaseEnd)
-	fails := w.random.Float64() < w.Faults.FailureRate && w.failures[t] < w.Faults.MaxFailures
+	fails := !plan.Gang && w.random.Float64() < w.Faults.FailureRate && w.failures[t] < w.Faults.MaxFailures
 	if fails {
 		w.failures[t]++
 	}
@@ -292,7 +333,11 @@
 	if w.runTime > 0 {
 		runTime = w.runTime
 	}
-	f.runs[t] = &fakeRun{number: c.Run.Number, fails: fails, endsAt: time.Now().Add(runTime)}
+	f.runs[t] = &fakeRun{number: c.Run.Number, fails: fails, endsAt: time.Now().Add(runTime), plan: plan,
+		startedAt: time.Now()}
+	if plan.Gang && t.Step < len(plan.Tasks) {
+		w.assembleGang(t, c.Run.Number, plan.Tasks[t.Step], runTime)
+	}
 	return engine.Applied
 }
 
@@ -349,7 +394,7 @@
 func (w *Workers) acknowledge(f *fakeWorker, end int64) {
 	for len(f.unacknowledged) > 0 && f.unacknowledged[0].Number <= end {
 		if e := f.unacknowledged[0]; e.How == work.Done {
-			w.acknowledged[e.Run.Task] = true
+			complete(w.acknowledged, e.Run.Task, f.plans[e.Run.Task.Job])
 		}
 		f.unacknowledged = f.unacknowledged[1:]
 	}
