engine: Workers with long-running tasks are asked often after a start

Cause: a crash is ascribed to runs that were not known to be active for 200 ms. What is known is as old as the last renewal, and a renewal of a worker without finite tasks waits up to 1 s for an end, so that a run counted as just started for one to two seconds.

Why this works: such a worker is asked each 200 ms, without waiting, until its runs are known to have been active for the window. Workers with finite tasks answer within 150 ms already.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -23,8 +23,9 @@
 	commitWait = 250 * time.Millisecond
 	// unresolvedRenewInterval is the time between renewals while the start of a run is unknown or a run is stopping.
 	unresolvedRenewInterval = 60 * time.Millisecond
-	// startupRenewInterval is the time between renewals while a long-running task with a disruption budget starts up: until
-	// it is known to be at work, others of its step can't be moved.
+	// startupRenewInterval is the time between renewals while long-running tasks start up: until one with a disruption budget
+	// is known to be at work, others of its step can't be moved, and a crash of the worker is ascribed to a run that is not
+	// known to have been active for crashWindow.
 	startupRenewInterval = 200 * time.Millisecond
 	// unresponsiveBackoff is the time per failure between renewals of a worker that does not reply, up to
 	// maxUnresponsiveBackoff.
@@ -97,7 +98,7 @@
 	switch {
 	case w.hasFiniteRuns():
 		o.Wait = FiniteRenewalWait
-	case o.Prompt:
+	case o.Prompt || w.hasNewRuns():
 		return o, startupRenewInterval, true
 	default:
 		o.Wait = renewalWait
@@ -115,6 +116,16 @@
 	return false
 }
 
+// hasNewRuns reports whether a crash of the worker would be ascribed to one of its runs.
+func (w *worker) hasNewRuns() bool {
+	for _, r := range w.runs {
+		if r.confirmedFor() < crashWindow {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) hasFiniteRuns() bool { return len(w.finiteRuns) > 0 }
 
 // PrepareRenewal sets the lease expiry of a renewal that is about to be sent, if it extends the lease.
