leader: Unknown jobs are denied only if no one can have taken over

Cause: a leader denied jobs that it does not know while its last confirmed transaction was less than 2 s old, the time for which it may send commands. Others take over 0.5 s after the last transaction of a leader that the store turns away.

Why this works: an answer is given only if the store has confirmed a transaction that was sent after the request came, or less than 0.5 s ago while leadership is offered to nobody; until then the request is pending. A leader that the store turns away refuses no new jobs either, since its successor may have accepted them.

--- a/internal/serve/leader/overload.go
+++ b/internal/serve/leader/overload.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/sched/intake"
+	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -50,9 +51,12 @@
 }
 
 // decide decides about a new job; s.mu must be held. An instance of an earlier build sets no deadline and does not know the
-// refusal. A leader that the store has not confirmed lately refuses none: its successor may have accepted the job.
+// refusal. A leader that the store has not confirmed lately, or turns away, refuses none: its successor may have accepted the
+// job.
 func (s *session) decide(q peer.SubmitRequest) intake.Verdict {
-	if q.Deadline <= 0 || s.leadership.SinceConfirmed() >= authorityMaxAge {
+	age := s.leadership.SinceConfirmed()
+	turnedAway := s.leadership.StoreRefusedFor() > 0 && age >= elect.LeastTakeoverTime
+	if q.Deadline <= 0 || age >= authorityMaxAge || turnedAway {
 		return intake.Verdict{}
 	}
 	n := s.scheduler.Describe(q.Job)
--- a/internal/serve/leader/overload_test.go
+++ b/internal/serve/leader/overload_test.go
@@ -260,3 +260,42 @@
 		e.link.SetFaults(fakes.Faults{})
 	})
 }
+
+// Guards against a former leader that acknowledges the cancellation of a job, or denies it, which its successor has accepted
+// and runs: others take over 0.5 s after the last transaction of a leader that the store turns away.
+func TestRefusedLeaderDoesNotDeny(t *testing.T) {
+	testClusterWith(t, func(o *leader.Options) { o.Delay = func() time.Duration { return 30 * time.Millisecond } }, func(c *cluster) {
+		e := c.leader()
+		request := func(cancel bool) peer.JobReply {
+			return e.service.Load().Job(context.Background(), peer.JobRequest{ID: smallJob(9).ID, Cancel: cancel,
+				Wait: 100 * time.Millisecond})
+		}
+		for _, cancel := range []bool{false, true} {
+			if reply := request(cancel); reply.Result != peer.NotFound {
+				t.Errorf("cancel %t: the leader answers %+v", cancel, reply)
+			}
+		}
+		large := smallJob(1)
+		large.Steps[0].Count = 4000
+		if reply := submitOnce(e, large); reply.Result != peer.Accepted {
+			t.Errorf("reply %+v", reply)
+		}
+		time.Sleep(200 * time.Millisecond)
+		e.link.SetFaults(fakes.Faults{Down: true})
+		time.Sleep(600 * time.Millisecond)
+		for _, cancel := range []bool{false, true} {
+			if reply := request(cancel); reply.Result == peer.NotFound {
+				t.Errorf("cancel %t: the leader that the store turns away answers %+v", cancel, reply)
+			}
+		}
+		if reply := e.service.Load().Submit(context.Background(), peer.SubmitRequest{Job: smallJob(2), Version: 1,
+			Wait: 100 * time.Millisecond, Deadline: callerDeadline}); reply.Result == peer.Overloaded {
+			t.Errorf("the leader that the store turns away refuses a new job: %+v", reply)
+		}
+		e.link.SetFaults(fakes.Faults{})
+		time.Sleep(time.Second)
+		if reply := request(true); reply.Result != peer.NotFound {
+			t.Errorf("once the store answers, the leader answers %+v", reply)
+		}
+	})
+}
--- a/internal/serve/leader/submit.go
+++ b/internal/serve/leader/submit.go
@@ -10,6 +10,7 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
 	"github.com/yuccahaven/yuccahaven/internal/sched/intake"
+	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/wire/peer"
 )
 
@@ -232,7 +233,7 @@
 		}
 	})
 	if err != nil {
-		return s.notFound()
+		return s.notFound(ctx, q.Wait, began)
 	}
 	s.wakeLoops()
 	waiting, cancel := waitContext(ctx, q.Wait)
@@ -250,6 +251,7 @@
 // state returns the state of a job. It waits for the store to have the end of a job that has ended, so that its caller does not
 // have to ask again and again, and to have a new job, which may run although its caller got no answer.
 func (s *session) state(ctx context.Context, q peer.JobRequest) peer.JobReply {
+	began := time.Now()
 	var state work.State
 	var queue string
 	var err error
@@ -279,15 +281,26 @@
 		return s.pending(ctx, q.Wait)
 	}
 	if err != nil {
-		return s.notFound()
+		return s.notFound(ctx, q.Wait, began)
 	}
 	return peer.JobReply{Result: peer.Accepted, State: state, Queue: queue}
 }
 
-// notFound replies that a job is unknown, or that this process is not the leader if a later leader may know the job.
-func (s *session) notFound() peer.JobReply {
-	if s.leadership.Lost() || s.leadership.SinceConfirmed() >= authorityMaxAge {
+// notFound answers a request about an unknown job that came at a time. A later leader may know the job: that there was none
+// when the request came is certain only once the store has confirmed a transaction that was sent then or so shortly before
+// that nobody can have taken over since. Otherwise the request is pending.
+func (s *session) notFound(ctx context.Context, wait time.Duration, came time.Time) peer.JobReply {
+	waiting, cancel := waitContext(ctx, wait)
+	defer cancel()
+	confirmed := s.awaitCommit(waiting, func() bool {
+		age := s.leadership.SinceConfirmed()
+		return !s.leadership.Lost() && (age <= time.Since(came) || age < elect.LeastTakeoverTime && !s.handingOver)
+	})
+	switch {
+	case confirmed:
+		return peer.JobReply{Result: peer.NotFound}
+	case s.leadership.Lost() || s.leadership.SinceConfirmed() >= authorityMaxAge:
 		return peer.JobReply{Result: peer.NotLeader}
 	}
-	return peer.JobReply{Result: peer.NotFound}
+	return s.pending(ctx, wait)
 }
--- a/internal/state/elect/elect.go
+++ b/internal/state/elect/elect.go
@@ -20,6 +20,9 @@
 	// refusedTakeoverTimeout is the same if the leader itself reports that the store refuses it. When the store answers
 	// all instances again, the leader confirms the record first.
 	refusedTakeoverTimeout = 500 * time.Millisecond
+	// LeastTakeoverTime is the least time between the sending of a leader's last confirmed transaction and the acquisition of
+	// leadership by another instance while the leader's process runs and offers leadership to nobody.
+	LeastTakeoverTime = refusedTakeoverTimeout
 	// exitedTakeoverTimeout is the same if the leader's process is known to have exited, because its address refuses
 	// connections or another process answers there. The last transaction of the process has ended by then. It is also the
 	// longest time between two reads of the leader record in this case.
