engine: The progress of a job fits into a row of the store

Cause: the progress of a job is one row without a bound. With some 3,280 checkpoints it is larger than the store takes; the transaction is refused, the leader ends its term, and the next one builds the same row.

Why this works: progress is stored with as many checkpoints as the row holds, by an upper bound of its size; a task without one starts from the beginning after a change of the leader. A job whose progress does not fit without any is failed, so that it costs no other job.

--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
@@ -107,6 +108,8 @@
 	// MaxBatchRows is the largest number of writes that can all be rows of one transaction.
 	MaxBatchRows  = 90
 	maxBatchBytes = 600 << 10
+	// maxRowBytes bounds a row; the store takes 64 KiB.
+	maxRowBytes = 60 << 10
 	// reservedShare is the part of a batch that is kept for workers and for jobs that no request waits for: if nothing of
 	// them were stored, no new worker would be used and no end be acknowledged.
 	reservedShare = 1.0 / 3
@@ -261,6 +264,12 @@
 // encodeJob adds the writes of a job: its record if it is new or has ended, else its progress.
 func (sc *Scheduler) encodeJob(j *job, add func(string, any) error, c *Batch) error {
 	key := string(j.ID)
+	size := j.progressSize()
+	if j.stored && !j.state.Final() && size > maxRowBytes {
+		// The store would refuse the row, and with it whatever is in the same transaction, from every leader.
+		sc.log.Error("engine: job failed, its progress is too large to be stored", zap.String("job", key), zap.Int("bytes", size))
+		sc.finishJob(j, work.Failed)
+	}
 	if j.state.Final() {
 		brief := work.Job{ID: j.ID, Queue: j.Queue, Customer: j.Customer, Accepted: j.Accepted}
 		if j.progressWritten {
@@ -272,12 +281,19 @@
 	if !j.stored {
 		return add(PrefixJob+key, jobRecord{Job: j.Job, Settings: j.settings})
 	}
+	p, left := j.progress(maxRowBytes - size)
+	if left > 0 {
+		sc.log.Warn("engine: progress of a job is too large for a row, storing it without some checkpoints",
+			zap.String("job", key), zap.Int("left", left))
+	}
 	j.progressWritten = true
-	return add(PrefixRun+key, j.progress())
+	return add(PrefixRun+key, p)
 }
 
-func (j *job) progress() progress {
-	p := progress{Opened: j.openedRounds, Closed: j.closedRounds}
+// progress returns the progress to store with checkpoints of at most a number of bytes, and how many checkpoints it leaves out:
+// a task without one starts from the beginning.
+func (j *job) progress(room int) (p progress, left int) {
+	p = progress{Opened: j.openedRounds, Closed: j.closedRounds}
 	for _, s := range j.stepStates {
 		e := stepProgress{Round: s.round, Step: s.step}
 		for i := range s.tasks {
@@ -301,16 +317,50 @@
 				}
 				e.Crashes[i] = n
 			}
-			if t.checkpoint != "" {
-				if e.Checkpoints == nil {
-					e.Checkpoints = map[int]string{}
-				}
-				e.Checkpoints[i] = t.checkpoint
+			if t.checkpoint == "" {
+				continue
+			}
+			if room -= encodedEntry + len(t.checkpoint); room < 0 {
+				left++
+				continue
 			}
+			if e.Checkpoints == nil {
+				e.Checkpoints = map[int]string{}
+			}
+			e.Checkpoints[i] = t.checkpoint
 		}
 		p.Steps = append(p.Steps, e)
 	}
-	return p
+	return p, left
+}
+
+// Bounds of the encoded sizes of parts of a progress record, in bytes: a step without its entries, a number, and the key and
+// head of an entry of a map.
+const (
+	encodedStep   = 80
+	encodedNumber = 9
+	encodedEntry  = 10
+)
+
+// progressSize returns an upper bound of the size of the stored progress without checkpoints, in bytes.
+func (j *job) progressSize() int {
+	size := 2 * encodedStep
+	for _, s := range j.stepStates {
+		size += encodedStep + (len(s.tasks)+7)/8
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			if t.done {
+				continue
+			}
+			if n := len(t.failedRuns); n > 0 {
+				size += encodedEntry + n*encodedNumber
+			}
+			if t.suspicion != nil {
+				size += encodedEntry + encodedNumber
+			}
+		}
+	}
+	return size
 }
 
 // HandleCommit records that the store holds a batch.
--- a/internal/sched/engine/record_test.go
+++ b/internal/sched/engine/record_test.go
@@ -5,6 +5,9 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
@@ -93,3 +96,108 @@
 		}
 	}
 }
+
+// largeJob returns a job of many tasks, and a scheduler that has stored it with one other job.
+func largeJob(t *testing.T, steps, count int) (*Scheduler, work.Job) {
+	t.Helper()
+	workers := []work.Worker{{ID: "w1", Pool: "p", Capacity: work.Need{CPU: 1}}}
+	sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 3}}}, workers)
+	large := work.Job{ID: "00000000000000a1", Queue: "q"}
+	for range steps {
+		large.Steps = append(large.Steps, work.Step{Count: count, Need: work.Need{CPU: 1}, Checkpoints: true})
+	}
+	small := work.Job{ID: "00000000000000a2", Queue: "q", Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 1}}}}
+	for _, j := range []work.Job{large, small} {
+		if _, err := sc.Submit(j); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store(t, sc)
+	return sc, large
+}
+
+// endAll lets every task of a job end.
+func endAll(sc *Scheduler, j work.Job, how work.Ending) {
+	var ends []work.End
+	for i, s := range j.Steps {
+		for k := range s.Count {
+			ends = append(ends, work.End{Number: int64(len(ends) + 1), How: how, Checkpoint: fmt.Sprintf("%08x%08x", i, k),
+				Run: work.RunKey{Task: work.TaskID{Job: j.ID, Step: i, Index: k}, Number: 1}})
+		}
+	}
+	sc.HandleRenewal(Renewal{Worker: "w1"}, work.RenewalReply{Incarnation: 1, Ended: ends}, time.Now())
+}
+
+// rowBytes is the largest row that the store takes.
+const rowBytes = 64 << 10
+
+// takeOver returns the scheduler of a new leader that restores what a scheduler stores, and checks the sizes of the rows.
+func takeOver(t *testing.T, sc *Scheduler) *Scheduler {
+	t.Helper()
+	var items []table.Item
+	for _, j := range slices.Collect(maps.Values(sc.jobs)) {
+		items = append(items, encodeItem(t, PrefixJob+string(j.ID), jobRecord{Job: j.Job, Settings: j.settings}))
+	}
+	for sc.Dirty() {
+		c, err := sc.Batch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range c.Writes {
+			if len(w.Value) > rowBytes {
+				t.Errorf("row %s has %d bytes, more than %d", w.Key, len(w.Value), rowBytes)
+			}
+			items = append(items, table.Item{Key: w.Key, Value: w.Value, Version: 1})
+		}
+		sc.HandleCommit(c)
+	}
+	next := New(DefaultOptions(), 2, nil)
+	next.Restore(items)
+	return next
+}
+
+func encodeItem(t *testing.T, key string, record any) table.Item {
+	t.Helper()
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table.Item{Key: key, Value: value, Version: 1}
+}
+
+// Guards against leaders that end their terms one after the other because the progress of a job with thousands of checkpoints
+// is larger than a row of the store.
+func TestProgressFitsIntoRow(t *testing.T) {
+	sc, large := largeJob(t, 3, work.MaxCount)
+	endAll(sc, large, work.LeaseExpired)
+	sc.finishTask(sc.jobs[large.ID].stepStates[stepKey{0, 2}], 7)
+	next := takeOver(t, sc)
+	j := next.jobs[large.ID]
+	if !j.stepStates[stepKey{0, 2}].tasks[7].done {
+		t.Error("a completed task was not stored")
+	}
+	kept := 0
+	for _, s := range j.stepStates {
+		for i := range s.tasks {
+			if s.tasks[i].checkpoint != "" {
+				kept++
+			}
+		}
+	}
+	if kept < 1500 {
+		t.Errorf("%d checkpoints stored, want at least 1500", kept)
+	}
+}
+
+// Guards against the same for a job whose progress is too large without any checkpoint: that job fails, and no other.
+func TestUnstorableJobFails(t *testing.T) {
+	sc, large := largeJob(t, 4, work.MaxCount)
+	endAll(sc, large, work.TaskFailed)
+	next := takeOver(t, sc)
+	if s := sc.jobs[large.ID].state; s != work.Failed {
+		t.Errorf("the large job is %q", s)
+	}
+	if s := next.jobs["00000000000000a2"].state; s != work.Pending {
+		t.Errorf("the other job is %q", s)
+	}
+}
