work: The list of steps that a step waits for is bounded

What could happen: a submission within the limit for bodies whose step names the same earlier step a hundred thousand times was accepted for storing. Its record is larger than a row, the store refuses the transaction, and the leader ends its term; the instance that got no answer sends the job to the next leader.

Why this works: with at most 64 numbers in each of at most 64 lists, the record of a job stays below a row with the other limits of a job (spec, texts, number of steps). Repeated numbers as such stay valid, since jobs may have been stored with them.

TestStepsThatAStepWaitsFor failed before.

--- a/internal/model/work/step.go
+++ b/internal/model/work/step.go
@@ -68,6 +68,8 @@
 		return fmt.Errorf("step %d: a number is below 0", number)
 	case len(s.Label) > maxTextBytes || len(s.Rack) > maxTextBytes || len(s.Image) > maxTextBytes:
 		return fmt.Errorf("step %d: a text is longer than %d bytes", number, maxTextBytes)
+	case len(s.After) > MaxSteps:
+		return fmt.Errorf("step %d: waits for %d steps, more than a job has", number, len(s.After))
 	}
 	for _, a := range s.After {
 		if a < 0 || a >= number {
