engine: Jobs keep their need for tickets after their queue is removed

Cause: of the queue's settings that a job keeps, the need for tickets was missing.

Why this works: it is kept now, with the authorizer's times, in the store too; and a job one of whose starts is declined for want of a ticket counts as needing tickets, which covers jobs that an older build has stored.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -179,8 +179,11 @@
 		w.backoffUntil = now.Add(fullBackoff)
 		sc.releaseRun(r)
 	case TicketRequired:
-		if r.stepState != nil && r.stepState.ticketState != nil {
-			delete(r.stepState.ticketState.expiry, w.ID)
+		if s := r.stepState; s != nil {
+			s.job.ticketDemanded = true
+			if s.ticketState != nil {
+				delete(s.ticketState.expiry, w.ID)
+			}
 		}
 		sc.releaseRun(r)
 	case Outdated, LeaseExpired, Invalid, Withheld:
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -205,11 +205,12 @@
 func (sc *Scheduler) poolOf(j *job) string { return sc.queueOf(j).Pool }
 
 // queueOf returns the settings of a job's queue. A job whose queue was removed, or is not known yet, keeps those that
-// were stored when it was accepted; NeedsTicket is not among them.
+// were stored when it was accepted.
 func (sc *Scheduler) queueOf(j *job) work.Queue {
-	if q, ok := sc.config.Queue(j.Queue); ok {
-		return q
+	q, ok := sc.config.Queue(j.Queue)
+	if !ok {
+		q = j.settings.queue(j.Queue)
 	}
-	return work.Queue{Name: j.Queue, Pool: j.settings.Pool, Attempts: j.settings.Attempts, Stretch: j.settings.Stretch,
-		Objective: j.settings.Objective, Priority: j.settings.Priority}
+	q.NeedsTicket = q.NeedsTicket || j.ticketDemanded
+	return q
 }
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -26,8 +26,10 @@
 	// restored means that the job was loaded from the store, so that a former leader may have started tasks of it.
 	restored bool
 	// started means that a task of the job is known to have had a run.
-	started    bool
-	finishedAt time.Time
+	started bool
+	// ticketDemanded means that a worker has demanded a ticket, whatever the queue says.
+	ticketDemanded bool
+	finishedAt     time.Time
 	// estimatedEnd is when the job should end by the estimate at its first start; zero if that came too late.
 	estimatedEnd time.Time
 	// stepStates are the steps of every open round: one that was opened and is not complete.
@@ -52,11 +54,24 @@
 	Stretch   float64       `json:"stretch"`
 	Objective time.Duration `json:"goal"`
 	Priority  int           `json:"rank,omitempty"`
+	// The rest is what the queue says of tickets, see work.Queue.
+	NeedsTicket      bool          `json:"ticket,omitempty"`
+	TicketCallTime   time.Duration `json:"call,omitempty"`
+	TicketWorkerTime time.Duration `json:"each,omitempty"`
+	TicketTTL        time.Duration `json:"valid,omitempty"`
 }
 
 func settingsOf(q work.Queue) acceptedSettings {
 	return acceptedSettings{Pool: q.Pool, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
-		Priority: q.Priority}
+		Priority: q.Priority, NeedsTicket: q.NeedsTicket, TicketCallTime: q.TicketCallTime,
+		TicketWorkerTime: q.TicketWorkerTime, TicketTTL: q.TicketTTL}
+}
+
+// queue returns the settings as those of the queue with a name.
+func (a acceptedSettings) queue(name string) work.Queue {
+	return work.Queue{Name: name, Pool: a.Pool, Attempts: a.Attempts, Stretch: a.Stretch, Objective: a.Objective,
+		Priority: a.Priority, NeedsTicket: a.NeedsTicket, TicketCallTime: a.TicketCallTime,
+		TicketWorkerTime: a.TicketWorkerTime, TicketTTL: a.TicketTTL}
 }
 
 type stepKey struct{ round, step int }
