engine: One checkpoint for all members of a gang

Cause: each member kept the checkpoint of its own last end, and a worker that crashes lists none.

Why this works: the first task holds the checkpoint of the whole gang, as it holds its failures. A checkpoint of an older run does not replace one of a newer run.

testdata/gangsaved failed before.

--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -111,8 +111,11 @@
 	failedRuns []int64
 	// lastNumber is the highest known run number.
 	lastNumber int64
-	checkpoint string
-	runs       []*run
+	// checkpoint is the last known one, checkpointNumber the number of the run that wrote it, 0 if that is not known. The first
+	// task of a gang has that of the whole gang, since all members must start from the same one.
+	checkpoint       string
+	checkpointNumber int64
+	runs             []*run
 	// lastRunEndedAt is when the task was last left without a run; zero if it never had one.
 	lastRunEndedAt time.Time
 	// suspicion is nil unless workers have crashed soon after they started the task; the first task of a gang has that of
@@ -172,6 +175,25 @@
 	checkpoint string
 }
 
+// checkpointed returns the task that holds the checkpoint of a task: the first one for the whole gang.
+func (s *stepState) checkpointed(index int) *task {
+	if s.spec.Gang {
+		return &s.tasks[0]
+	}
+	return &s.tasks[index]
+}
+
+// noteCheckpoint records the checkpoint that a run of a task has written, unless it is older than the known one, and reports
+// whether it is a new one.
+func (s *stepState) noteCheckpoint(index int, number int64, checkpoint string) bool {
+	t := s.checkpointed(index)
+	if checkpoint == "" || checkpoint == t.checkpoint || number < t.checkpointNumber {
+		return false
+	}
+	t.checkpoint, t.checkpointNumber = checkpoint, number
+	return true
+}
+
 func (s *stepState) task(index int) work.TaskID {
 	return work.TaskID{Job: s.job.ID, Round: s.round, Step: s.step, Index: index}
 }
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -471,5 +471,5 @@
 		zap.Duration("seen", now.Sub(w.clockReadAt)), zap.Duration("slack", s.job.deadline.Sub(now)))
 	ticket, _ := s.ticket(w.ID, now)
 	return Start{Ticket: ticket.Text, Worker: w.ID, Address: w.Address, Run: r.key, Spec: s.job.Spec,
-		LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: t.checkpoint}
+		LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: s.checkpointed(index).checkpoint}
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -347,8 +347,7 @@
 		t := &s.tasks[e.Run.Task.Index]
 		t.lastNumber = max(t.lastNumber, e.Run.Number)
 		s.job.started = true
-		if e.Checkpoint != "" && e.Checkpoint != t.checkpoint {
-			t.checkpoint = e.Checkpoint
+		if s.noteCheckpoint(e.Run.Task.Index, e.Run.Number, e.Checkpoint) {
 			sc.markDirty(s.job)
 		}
 		sc.applyEnd(s, e, r)
--- a/internal/sched/engine/restore.go
+++ b/internal/sched/engine/restore.go
@@ -125,7 +125,10 @@
 				j.started = true
 			}
 			t.failedRuns = e.Failed[i]
-			t.checkpoint = e.Checkpoints[i]
+			// A record of an older build has one for each member of a gang.
+			if c := e.Checkpoints[i]; c != "" {
+				s.checkpointed(i).checkpoint = c
+			}
 			sc.restoreSuspicion(s, i, e.Crashes[i])
 			for _, n := range t.failedRuns {
 				t.lastNumber = max(t.lastNumber, n)
--- a/internal/sched/engine/unknown.go
+++ b/internal/sched/engine/unknown.go
@@ -45,7 +45,7 @@
 		s := r.stepState
 		ticket, _ := s.ticket(w.ID, now)
 		commands = append(commands, Start{Ticket: ticket.Text, Worker: w.ID, Address: w.Address, Run: r.key,
-			Spec: s.job.Spec, LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: s.tasks[r.key.Task.Index].checkpoint})
+			Spec: s.job.Spec, LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: s.checkpointed(r.key.Task.Index).checkpoint})
 	}
 	sc.repeats = nil
 	return commands
