demo, platform: Launched instances have a process group of their own

Cause: a process group that becomes orphaned while one of its processes is stopped gets SIGHUP from the system. The group becomes orphaned when the shell job that started the test ends.

Why this works: the parent of the instance is in another group of the same session for as long as the test runs, so that the group of the instance is not orphaned.

--- a/internal/lab/demo/launch.go
+++ b/internal/lab/demo/launch.go
@@ -73,6 +73,8 @@
 	}
 	p := &Process{Entry: e, cmd: exec.Command(binary, e.Args()...), logPath: path, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// In a group of its own a stopped process gets no SIGHUP when the shell that has started this process exits.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		_ = out.Close()
 		return nil, fmt.Errorf("demo: start %s: %w", e.Name, err)
