engine: Renewals of a worker with a suspect are reported at once

Cause: a relay repeats the renewal of a worker with finite tasks for a second until a run ends, so that the leader does not know that the run of a suspect is active.

Why this works: a renewal of a worker on which a suspect has just started asks its relay for the first reply, which comes after 150 ms. Suspects are rare and start apart from all others, so that the load of other renewals does not change.

testdata/suspectprompt failed before. The scripts print now whether a renewal asks for that; testdata/relocate has one that did before.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -48,7 +48,8 @@
 	AckedEnd int64
 	// Wait is how long the worker may delay its reply until a run ends; 0 asks for a reply at once.
 	Wait time.Duration
-	// Prompt asks a relay to report the first reply, and not to repeat the renewal until a run ends.
+	// Prompt asks a relay to report the first reply, and not to repeat the renewal until a run ends: the reply may show that a
+	// task is at work, or that it does not crash its worker.
 	Prompt bool
 	// Patient means that tasks will start elsewhere if there is no reply: it is worth a new connection and a long
 	// time-out.
@@ -94,7 +95,7 @@
 			return o, unresolvedRenewInterval, true
 		}
 	}
-	o.Prompt = w.startsUp()
+	o.Prompt = w.startsUp() || w.isIsolated()
 	switch {
 	case w.hasFiniteRuns():
 		o.Wait = FiniteRenewalWait
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -347,6 +347,9 @@
 	if r.Patient {
 		text += ", patient"
 	}
+	if r.Prompt {
+		text += ", prompt"
+	}
 	return text
 }
 
