engine: Checkpoints that a worker reported outlive its crash

Cause: only the ends of runs set the checkpoint of a task, and a run that is given up has no known end.

Why this works: when a run is given up, its task takes the last checkpoint that the worker listed, unless it has one of a newer run.

testdata/crashsaved failed before (a start without a checkpoint).

--- a/internal/sched/engine/giveup.go
+++ b/internal/sched/engine/giveup.go
@@ -26,14 +26,18 @@
 // log can tell what had become of them if it replies again.
 func (sc *Scheduler) giveUpRuns(w *worker, reason string) {
 	for _, r := range w.runs {
-		r.rememberGivenUp(reason)
+		sc.rememberGivenUp(r, reason)
 		sc.releaseRun(r)
 	}
 }
 
-// rememberGivenUp records with the worker that a run is given up.
-func (r *run) rememberGivenUp(reason string) {
+// rememberGivenUp records with the worker that a run is given up, and with its task the last checkpoint that the worker reported.
+func (sc *Scheduler) rememberGivenUp(r *run, reason string) {
 	w := r.worker
+	if s := r.stepState; s != nil && !s.job.state.Final() && !s.tasks[r.key.Task.Index].done &&
+		s.noteCheckpoint(r.key.Task.Index, r.key.Number, r.checkpoint) {
+		sc.markDirty(s.job)
+	}
 	if w.givenUp == nil {
 		w.givenUp = map[work.RunKey]givenUpRun{}
 	}
--- a/internal/sched/engine/restart.go
+++ b/internal/sched/engine/restart.go
@@ -40,7 +40,7 @@
 func (sc *Scheduler) giveUpRunsBefore(w *worker, reason string) {
 	now := time.Now()
 	for _, r := range w.runs {
-		r.rememberGivenUp(reason)
+		sc.rememberGivenUp(r, reason)
 		copiesLeft := r.repeated && now.Sub(r.startedAt) < lateCommandTime
 		if !r.listedAt.IsZero() && !copiesLeft {
 			sc.releaseRun(r)
