--- a/internal/lab/fakes/workers.go
+++ b/internal/lab/fakes/workers.go
@@ -24,6 +24,8 @@
 	completed map[work.TaskID]bool
 	failures  map[work.TaskID]int
 	started   map[work.TaskID]bool
+	// lastStarts is when a task of each job last started.
+	lastStarts map[work.JobID]time.Time
 	// runTime is how long a run takes, 0 for a random time of at most 1.7 s.
 	runTime    time.Duration
 	Faults     WorkerFaults
@@ -80,7 +82,8 @@
 // NewWorkers returns workers whose faults and run times are drawn from a seeded random source.
 func NewWorkers(seed uint64, workers ...work.Worker) *Workers {
 	set := &Workers{random: rand.New(rand.NewPCG(seed, 1)), byID: map[work.WorkerID]*fakeWorker{},
-		acknowledged: map[work.TaskID]bool{}, completed: map[work.TaskID]bool{}, failures: map[work.TaskID]int{}, started: map[work.TaskID]bool{}}
+		acknowledged: map[work.TaskID]bool{}, completed: map[work.TaskID]bool{}, failures: map[work.TaskID]int{}, started: map[work.TaskID]bool{},
+		lastStarts: map[work.JobID]time.Time{}}
 	for _, w := range workers {
 		set.byID[w.ID] = newFakeWorker(w)
 	}
@@ -310,6 +313,7 @@
 	w.checkOrder(t, plan)
 	w.Started++
 	w.started[t] = true
+	w.lastStarts[t.Job] = time.Now()
 	for id, other := range w.byID {
 		if other.down {
 			continue
@@ -429,6 +433,13 @@
 	return jobs
 }
 
+// LastStart returns when a task of a job last started, or the zero time.
+func (w *Workers) LastStart(id work.JobID) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastStarts[id]
+}
+
 // Check returns the violations recorded so far.
 func (w *Workers) Check() []string {
 	w.mu.Lock()
