leader: A leader that is cut off rejects requests about unknown jobs at once

What callers would see: since unknown jobs are denied only with a confirmation, such a request waited 0.6 s at a leader that had been cut off from the store for long, although it can't be answered there.

Why this works: with the last confirmed transaction older than 2 s the instance says at once that another one may lead, as before.

TestRefusedLeaderDoesNotDeny has the check, which failed before (100 ms); the store is away for all instances in it now, since another one would take over within 2 s.

--- a/internal/serve/leader/overload_test.go
+++ b/internal/serve/leader/overload_test.go
@@ -281,7 +281,13 @@
 			t.Errorf("reply %+v", reply)
 		}
 		time.Sleep(200 * time.Millisecond)
-		e.link.SetFaults(fakes.Faults{Down: true})
+		setStore := func(f fakes.Faults) {
+			for _, x := range c.entries {
+				x.link.SetFaults(f)
+			}
+		}
+		// Nobody takes over here, which the leader can't know.
+		setStore(fakes.Faults{Down: true})
 		time.Sleep(600 * time.Millisecond)
 		for _, cancel := range []bool{false, true} {
 			if reply := request(cancel); reply.Result == peer.NotFound {
@@ -292,7 +298,12 @@
 			Wait: 100 * time.Millisecond, Deadline: callerDeadline}); reply.Result == peer.Overloaded {
 			t.Errorf("the leader that the store turns away refuses a new job: %+v", reply)
 		}
-		e.link.SetFaults(fakes.Faults{})
+		time.Sleep(1500 * time.Millisecond)
+		began := time.Now()
+		if reply := request(true); reply.Result != peer.NotLeader || time.Since(began) > 0 {
+			t.Errorf("the leader that is cut off answers %+v after %v", reply, time.Since(began))
+		}
+		setStore(fakes.Faults{})
 		time.Sleep(time.Second)
 		if reply := request(true); reply.Result != peer.NotFound {
 			t.Errorf("once the store answers, the leader answers %+v", reply)
--- a/internal/serve/leader/submit.go
+++ b/internal/serve/leader/submit.go
@@ -288,8 +288,13 @@
 
 // notFound answers a request about an unknown job that came at a time. A later leader may know the job: that there was none
 // when the request came is certain only once the store has confirmed a transaction that was sent then or so shortly before
-// that nobody can have taken over since. Otherwise the request is pending.
+// that nobody can have taken over since. Otherwise the request is pending, and one to a leader that is cut off from the store is
+// rejected at once.
 func (s *session) notFound(ctx context.Context, wait time.Duration, came time.Time) peer.JobReply {
+	cutOff := func() bool { return s.leadership.Lost() || s.leadership.SinceConfirmed() >= authorityMaxAge }
+	if cutOff() {
+		return peer.JobReply{Result: peer.NotLeader}
+	}
 	waiting, cancel := waitContext(ctx, wait)
 	defer cancel()
 	confirmed := s.awaitCommit(waiting, func() bool {
@@ -299,7 +304,7 @@
 	switch {
 	case confirmed:
 		return peer.JobReply{Result: peer.NotFound}
-	case s.leadership.Lost() || s.leadership.SinceConfirmed() >= authorityMaxAge:
+	case cutOff():
 		return peer.JobReply{Result: peer.NotLeader}
 	}
 	return s.pending(ctx, wait)
