relay: The outcome of one copy of an order is not that of the order

What callers saw: a task ran twice at once.

Cause: an order without a reply is sent a second time after 150 ms. When the second copy had been sent, the result of the first one still counted as that of the order unless it was "no reply". A first copy that got no connection within 450 ms was "not sent" and the start counted as such, although the second copy had got one and was executed, with its answer lost or late: the run was released while it ran, and the task started elsewhere at once. In the same way "full", "unhealthy", "outdated" and the like from one copy released a run that the other copy had started. Nobody asks a worker on which no run is known what runs there, so the first run may also end unnoticed and its end be acknowledged when the worker is next used.

Why it works: once a second copy is on its way, only an outcome that settles the order for every copy (applied, fenced, replaced) counts by itself; any other one leaves the order unknown until the second copy has settled it, and a run of unknown start is kept until its worker has told what became of it.

--- a/internal/serve/relay/hedge.go
+++ b/internal/serve/relay/hedge.go
@@ -39,35 +39,39 @@
 // hedge is the second copy of an order.
 type hedge struct {
 	mu sync.Mutex
-	// result is the copy's result if that is conclusive.
-	result *Result
+	// sent means that the copy is on its way, closed that it must not be sent any more.
+	sent, closed bool
+	// result is set when done is closed.
+	result Result
+	done   chan struct{}
 }
 
 // Run executes an order and returns its result. A second copy is sent only while may reports that the order may be sent.
 func (e *Executor) Run(ctx context.Context, o Order, fence int64, may func() bool) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var h hedge
+	h := &hedge{done: make(chan struct{})}
 	timer := time.AfterFunc(hedgeDelay+o.Renewal.Wait, func() {
-		if !e.allow() || !may() {
+		if !h.begin(func() bool { return e.allow() && may() }) {
 			return
 		}
-		if r := e.sendSecond(ctx, o, fence); r.Outcome != engine.NoReply {
-			h.set(r)
+		h.result = e.sendSecond(ctx, o, fence)
+		close(h.done)
+		if h.result.Outcome != engine.NoReply {
 			cancel()
 		}
 	})
 	r := e.execute(ctx, o, fence)
 	waiting := timer.Stop()
+	if h.end() {
+		return h.combine(r)
+	}
 	if r.Outcome != engine.NoReply {
 		if waiting {
 			e.earn()
 		}
 		return r
 	}
-	if second := h.get(); second != nil {
-		return *second
-	}
 	if waiting && ctx.Err() == nil && e.allow() && may() {
 		// The connection broke before the second copy was due.
 		return e.sendSecond(ctx, o, fence)
@@ -75,6 +79,49 @@
 	return r
 }
 
+// begin reports whether the copy may be sent now, and records that it is.
+func (h *hedge) begin(may func() bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent = !h.closed && may()
+	return h.sent
+}
+
+// end keeps the copy from being sent, and reports whether it has been sent before.
+func (h *hedge) end() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	return h.sent
+}
+
+// combine returns the result of an order of which the second copy was sent, from that of the first copy. Unless the first
+// one shows that the order was executed or never will be, the result rests on the second copy: what declines the first one,
+// or keeps it here, says nothing of the second.
+func (h *hedge) combine(first Result) Result {
+	switch first.Outcome {
+	case engine.Applied, engine.Fenced, engine.Replaced:
+		return first
+	case engine.NotSent, engine.NoReply:
+		select {
+		case <-h.done:
+			return h.result
+		default:
+			first.Outcome = engine.NoReply
+			return first
+		}
+	default:
+	}
+	<-h.done
+	if h.result.Outcome != engine.NoReply {
+		return h.result
+	}
+	if _, ok := first.Command.(engine.Start); ok {
+		first.Outcome = engine.DeclinedAgain
+	}
+	return first
+}
+
 // sendSecond sends a second copy of an order. What declines it says nothing of the first copy, which may still be executed.
 func (e *Executor) sendSecond(ctx context.Context, o Order, fence int64) Result {
 	sent := time.Now()
@@ -113,15 +160,3 @@
 	e.allowance = min(e.allowance+hedgeShare, maxHedges)
 	e.mu.Unlock()
 }
-
-func (h *hedge) set(r Result) {
-	h.mu.Lock()
-	h.result = &r
-	h.mu.Unlock()
-}
-
-func (h *hedge) get() *Result {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.result
-}
