engine: The leases of a former leader last beyond a worker's first report

What callers would see: two runs of a task at once after a change of leader.

Cause: the first reply of an inherited worker removed it from the inherited ones, while no lease of this term had been sent to it. If it stopped replying before its next renewal was prepared (up to 250 ms later, with ends to store), its leases counted as expired 250 ms after that reply, and one patient renewal without a reply released its runs, which go on under the former leader's lease.

Why it works: a worker keeps the time at which the former leader's leases have certainly expired, and its runs are released no sooner.

--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -42,6 +42,11 @@
 // leaseMargin covers the rounding of the worker's clock to milliseconds and the time a worker needs to end a run.
 const leaseMargin = 250 * time.Millisecond
 
+// leaseTime returns how long after its sending a lease has certainly expired.
+func (o Options) leaseTime() time.Duration {
+	return time.Duration(float64(o.Lease)/(1-clockDrift)) + leaseMargin
+}
+
 // runsPerTerm is how far apart the run numbers of two successive terms begin, so that they rise although starts are not
 // stored.
 const runsPerTerm = 1000
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -201,6 +201,9 @@
 	if first {
 		sc.log.Info("engine: run lists of worker confirmed", zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)),
 			zap.Int("ends", len(reply.Ended)), zap.Int64("born", w.Incarnation))
+		if sc.inherited[w.ID] != nil {
+			w.formerLeasesEnd = sc.inheritedUntil
+		}
 		delete(sc.inherited, w.ID)
 		if !w.inUse {
 			w.inUse = true
--- a/internal/sched/engine/restore.go
+++ b/internal/sched/engine/restore.go
@@ -48,8 +48,7 @@
 		}
 	}
 	// A former leader may still extend leases until its authority ends.
-	sc.inheritedUntil = time.Now().Add(sc.options.Authority).
-		Add(time.Duration(float64(sc.options.Lease) / (1 - clockDrift))).Add(leaseMargin)
+	sc.inheritedUntil = time.Now().Add(sc.options.Authority).Add(sc.options.leaseTime())
 }
 
 func (sc *Scheduler) restoreJob(i table.Item) {
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -35,6 +35,8 @@
 	clockReadAt time.Time
 	// lastLeaseEnd is the latest expiry of the leases sent to the worker, in milliseconds of its clock.
 	lastLeaseEnd int64
+	// formerLeasesEnd is when the leases of a former leader have certainly expired; zero if there are none.
+	formerLeasesEnd time.Time
 	// lateStartsUntil is until when runs may exist whose start was meant for a former incarnation; zero if there are none.
 	lateStartsUntil time.Time
 	// The worker numbers the ends of its runs. handledEnd is the number of the last end handled, ackedEnd that of the
@@ -369,8 +371,10 @@
 	if sc.inherited[w.ID] != nil {
 		end = sc.inheritedUntil
 	}
-	if w.lateStartsUntil.After(end) {
-		return w.lateStartsUntil
+	for _, other := range []time.Time{w.formerLeasesEnd, w.lateStartsUntil} {
+		if other.After(end) {
+			end = other
+		}
 	}
 	return end
 }
