engine: Ends in a reply that is read late count

What callers would see: a task started again whose end its worker had reported.

Cause: a reply to a renewal was dropped whole if its worker had been marked ended since the call (list of machines, another worker at its address), or if the list of workers had told of the worker's restart meanwhile. The ends in it were lost, and their tasks started again.

Why it works: what such a reply says of the worker is out of date, but a run that has ended stays ended, so its result is applied to its task. Nothing of the worker changes, and nothing is acknowledged.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -171,11 +171,12 @@
 // HandleRenewal applies the reply to a renewal that was sent at the given time.
 func (sc *Scheduler) HandleRenewal(o Renewal, reply work.RenewalReply, sent time.Time) {
 	w, ok := sc.workers[o.Worker]
-	if !ok || w.ended {
+	if !ok {
 		return
 	}
-	if reply.Incarnation != 0 && reply.Incarnation < w.Incarnation {
-		// A reply of an earlier incarnation does not apply to this one.
+	if former := reply.Incarnation != 0 && reply.Incarnation < w.Incarnation; former || w.ended {
+		// What the reply says of the worker does not apply any more, but ends stay ends.
+		sc.handleLateEnds(w, reply.Ended)
 		return
 	}
 	if reply.Incarnation > w.Incarnation {
@@ -363,6 +364,23 @@
 	}
 }
 
+// handleLateEnds updates the tasks of runs whose ends were read after their worker or its incarnation had ended. Only
+// results count, since other ends say nothing about a run that a later incarnation may have.
+func (sc *Scheduler) handleLateEnds(w *worker, list []work.End) {
+	for _, e := range list {
+		s := sc.stepOfReport(e.Run.Task)
+		sc.log.Info("engine: end read after its worker had ended", zap.Stringer("task", e.Run.Task),
+			zap.Int64("run", e.Run.Number), zap.String("worker", string(w.ID)), zap.String("how", string(e.How)),
+			zap.Bool("ended", w.ended), zap.String("task_state", taskState(s, e.Run.Task)))
+		if s != nil && !s.job.state.Final() && (e.How == work.Done || e.How == work.TaskFailed) {
+			t := &s.tasks[e.Run.Task.Index]
+			t.lastNumber = max(t.lastNumber, e.Run.Number)
+			s.job.started = true
+			sc.applyEnd(s, e, nil)
+		}
+	}
+}
+
 // taskState describes a task before an end of one of its runs is handled, for the log. s is nil if the task is unknown.
 func taskState(s *stepState, id work.TaskID) string {
 	switch {
