engine: A worker marked ended by mistake keeps its lease

What callers would see: a task runs again whose end is acknowledged.

Cause: the runs of a worker that is marked ended are released at once. If it was still listed 6 s later it was used again, although a lease of 6 s has certainly expired only after 6.37 s; one that was unlisted meanwhile was forgotten together with its last lease, and used again as a new worker as soon as it was listed. The ends that it then listed were acknowledged before its lease had expired, which makes them count, after their tasks had started again.

Why it works: a worker keeps the end of its last lease through marking and unlisting. Until its own clock has passed that, its lists are read, but no end is acknowledged, no lease extended and nothing started there.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -82,6 +82,10 @@
 	if !w.confirmed {
 		return o, 0, w.listed || sc.inherited[id] != nil
 	}
+	if w.holdsReleasedLease() {
+		o.AckedEnd = w.ackDelivered
+		return o, unresponsiveBackoff, true
+	}
 	if len(w.runs) == 0 {
 		// Only the acknowledgment of the last ends is still to be delivered.
 		return o, 0, w.ackedEnd > 0 && w.ackedEnd == w.handledEnd && w.ackedEnd > w.ackDelivered
--- a/internal/sched/engine/restart.go
+++ b/internal/sched/engine/restart.go
@@ -20,7 +20,7 @@
 	w.confirmed, w.ended = false, false
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
 	w.unackedEnds = nil
-	w.clock, w.lastLeaseEnd = 0, 0
+	w.clock, w.lastLeaseEnd, w.releasedLease = 0, 0, 0
 	w.clockReadAt, w.formerLeasesEnd = time.Time{}, time.Time{}
 	w.largestCapacity = work.Need{}
 	w.cordoned, w.closed = false, false
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -35,6 +35,9 @@
 	clockReadAt time.Time
 	// lastLeaseEnd is the latest expiry of the leases sent to the worker, in milliseconds of its clock.
 	lastLeaseEnd int64
+	// releasedLease is the end of the last lease of the runs that were released because the worker had been marked ended, in
+	// milliseconds of its clock.
+	releasedLease int64
 	// formerLeasesEnd is when the leases of a former leader have certainly expired; zero if there are none.
 	formerLeasesEnd time.Time
 	// lateStartsUntil is until when runs may exist whose start was meant for a former incarnation; zero if there are none.
@@ -98,6 +101,13 @@
 	return w.Capacity.Minus(w.reserved)
 }
 
+// holdsReleasedLease reports whether a lease may still run under which the worker had runs that were released because it
+// had been marked ended by mistake. Until it has expired their ends must not be acknowledged: their tasks may have started
+// again.
+func (w *worker) holdsReleasedLease() bool {
+	return w.releasedLease > 0 && w.estimatedClock() <= w.releasedLease+leaseMargin.Milliseconds()
+}
+
 // estimatedClock estimates the worker's clock; it lags the real one by at most the transit time of the last reply.
 func (w *worker) estimatedClock() int64 { return w.clock + time.Since(w.clockReadAt).Milliseconds() }
 
@@ -204,6 +214,7 @@
 	sc.log.Info("engine: worker ended; releasing its runs", zap.String("worker", string(w.ID)),
 		zap.String("why", reason), zap.Int("runs", len(w.runs)))
 	sc.giveUpRuns(w, reason)
+	w.releasedLease = w.lastLeaseEnd
 	w.ended = true
 	w.endedAt = time.Now()
 	sc.clearInUse(w)
@@ -335,7 +346,7 @@
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
 	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && w.isDescribed() && !w.Leaving &&
-		w.responsive() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
+		!w.holdsReleasedLease() && w.responsive() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
 // releaseRun removes a run and frees what it reserves; its task waits again unless it is complete or has other runs.
@@ -423,8 +434,7 @@
 		if sc.mayGiveUp(w, now) {
 			sc.expireLeases(w, now)
 		}
-		if !w.listed && len(w.runs) == 0 && !w.inUse && (w.ended || !w.unresponsiveSince.IsZero()) &&
-			sc.inherited[id] == nil {
+		if sc.isGone(w, now) {
 			sc.touch(w)
 			sc.index.remove(w)
 			delete(sc.workers, id)
@@ -438,6 +448,14 @@
 	}
 }
 
+// isGone reports whether nothing of a worker matters any more, even if the platform lists it again.
+func (sc *Scheduler) isGone(w *worker, now time.Time) bool {
+	if w.listed || len(w.runs) > 0 || w.inUse || sc.inherited[w.ID] != nil || !w.ended && w.unresponsiveSince.IsZero() {
+		return false
+	}
+	return w.clockReadAt.IsZero() || now.After(sc.leasesEnd(w))
+}
+
 // forgetEnded removes the ended jobs past their retention.
 func (sc *Scheduler) forgetEnded(now time.Time) {
 	removed := 0
