engine: Renewals of workers that may have restarted acknowledge nothing

What callers would see: a task started again after its end was acknowledged unread. Found by reading; not seen in a play.

Cause: the number up to which ends are acknowledged belongs to one incarnation of a worker, which the call can't name: a worker may restart under its id and numbers its ends from 1 again. The renewals of a worker that does not reply went on to acknowledge the ends of its former incarnation. A restarted worker that had executed a start without a reply, and whose run had ended, dropped that end before anybody had read it; the run then was missing from its lists, was stopped and released, and its task started again.

Evidence: TestAcknowledgmentAtRestart fails without the change (started again 0.6 s after the start).

Why it works: only a worker that has replied to the last call gets acknowledgments, so that the first call which reaches a new incarnation acknowledges nothing. A renewal that is executed late by the next incarnation is another case: TestLateAcknowledgmentAfterRestart shows it and is listed as known red.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -65,7 +65,11 @@
 	if !ok || w.ended {
 		return Renewal{}, 0, false
 	}
-	o := Renewal{Worker: id, Address: w.Address, AckedEnd: w.ackedEnd}
+	o := Renewal{Worker: id, Address: w.Address}
+	if w.responsive() && w.confirmed {
+		// Ends are numbered anew after a restart, and a worker that does not reply may have restarted under its id.
+		o.AckedEnd = w.ackedEnd
+	}
 	if !w.unresponsiveSince.IsZero() && (w.listed || len(w.runs) > 0 || sc.inherited[id] != nil) {
 		// No lease extension: if renewals of unknown outcome kept extending the lease, it would never be known to expire.
 		o.Direct = true
