host, front: Callers' connections and bodies are bounded together

What callers saw: a process ended because it ran out of memory. Clients that the users don't control sent many bodies of legal size at once, whole, in pieces or in chunks, most of them one byte short of their end, and kept the connections open.

Cause: each request was bounded, their sum was not. Every connection was accepted and kept until its read deadline (8 s), each body was collected as fast as it came in a buffer that grows by copying, and a body of many empty steps was decoded into steps of several hundred bytes each before their number was checked. A request that was rejected before its body was read had to send the rest of it first.

Change: callers may hold a number of connections and of bytes of bodies that follow from the limits in the settings. A response to a request whose body was not read closes the connection instead of waiting for the rest.

Why it works: the sum is bounded, not the single request.

--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/speed"
+	"github.com/yuccahaven/yuccahaven/internal/serve/inlet"
 	"github.com/yuccahaven/yuccahaven/internal/serve/leader"
 	"github.com/yuccahaven/yuccahaven/internal/serve/relay"
 	"github.com/yuccahaven/yuccahaven/internal/serve/router"
@@ -61,7 +62,8 @@
 	Rules  *rules.Cache
 	// WatchRules updates Rules until the context ends.
 	WatchRules func(context.Context)
-	// Front returns the handler of callers' requests.
+	// Inlet bounds callers' connections, Front returns the handler of their requests.
+	Inlet    *inlet.Inlet
 	Front    func(*router.Router) http.Handler
 	Registry metrics.Registry
 	Log      *zap.Logger
@@ -104,17 +106,23 @@
 		ErrorLog: zap.NewStdLog(h.Log)}
 	metrics := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout,
 		ErrorLog: zap.NewStdLog(h.Log)}
+	listen := func(_ context.Context, address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	failed := make(chan error, 4)
 	for _, x := range []struct {
-		server  *http.Server
 		address string
-	}{{callers, h.Callers}, {ready, h.Ready}, {metrics, h.Metrics}} {
-		l, err := net.Listen("tcp", x.address)
+		listen  func(context.Context, string) (net.Listener, error)
+		serve   func(net.Listener) error
+	}{
+		{h.Callers, h.Inlet.Listen, func(l net.Listener) error { return h.Inlet.Serve(callers, l) }},
+		{h.Ready, listen, ready.Serve},
+		{h.Metrics, listen, metrics.Serve},
+	} {
+		l, err := x.listen(runCtx, x.address)
 		if err != nil {
 			return fmt.Errorf("host: %w", err)
 		}
 		go func() {
-			if err := x.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := x.serve(l); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("host: serve on %s: %w", x.address, err)
 			}
 		}()
@@ -216,6 +224,10 @@
 	front := h.front.Load()
 	if front == nil {
 		w.Header().Set("Retry-After", "1")
+		if r.ContentLength != 0 {
+			// The response would wait for the rest of the body.
+			w.Header().Set("Connection", "close")
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
