--- a/internal/sched/engine/formerlease_test.go
+++ b/internal/sched/engine/formerlease_test.go
@@ -80,3 +80,45 @@
 		}
 	})
 }
+
+// Guards against forgetting which worker holds ends that are not stored: after a change of leader a worker reported its ends
+// and then did not reply once, its record was removed from the store, and the next leader, to which the store told nothing of
+// those ends, started their tasks again without asking it.
+func TestRecordOfWorkerWithUnstoredEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		former, run := startedRun(t)
+		var items []table.Item
+		for _, id := range []work.WorkerID{"w1", "w2"} {
+			former.dirtyWorkers[id] = true
+		}
+		former.markDirty(former.jobs[run.Task.Job])
+		former.jobs[run.Task.Job].stored = false
+		b, err := former.Batch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range b.Writes {
+			items = append(items, table.Item{Key: w.Key, Value: w.Value, Version: 1})
+		}
+
+		sc := New(DefaultOptions(), 2, nil)
+		sc.Restore(items)
+		sc.Configure(former.config)
+		sc.SetWorkers(former.Workers())
+		o, _, _ := sc.NextRenewal("w1")
+		sc.HandleRenewal(o, work.RenewalReply{Incarnation: 1, Clock: 1, Ended: []work.End{{Number: 1, Run: run, How: work.Done}}},
+			time.Now())
+		sc.HandleRenewalFailure(o, NoReply)
+		time.Sleep(500 * time.Millisecond)
+		sc.Tick()
+		b, err = sc.Batch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range b.Writes {
+			if w.Key == PrefixWorker+"w1" && w.Delete {
+				t.Error("the worker's record is removed, the end that it listed is not stored")
+			}
+		}
+	})
+}
