engine: A throttle of unknown outcome is sent again

What callers would see: a best-effort task stays suspended for good, or works on beside a serving task that is above its latency objective (HARM).

Cause: a throttle without a reply counted as not executed, although the worker may have executed it. When the objective then asked for the percentage that counted as applied, nothing was sent.

Evidence: TestScripts/throttleunknown and TestScripts/unthrottleunknown fail without the change (no order, expected "to 100" and "to 0").

Why it works: after any outcome but an execution or an order that was not sent the applied percentage is unknown, and the wanted one is sent whatever it is. An order that is declined counts as unclear too, since a second copy of it may have been sent. Still open: an order that is executed late, after a newer one.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -223,8 +223,13 @@
 	}
 	if r := w.runs[c.Run]; r != nil {
 		r.throttlePending = false
-		if result == Applied {
-			r.throttle = c.Percent
+		switch result {
+		case Applied:
+			r.throttle, r.throttleUnknown = c.Percent, false
+		case NotSent, RelayNotSent, Withheld:
+		default:
+			// What declines one copy says nothing of the other.
+			r.throttleUnknown = true
 		}
 	}
 }
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -167,9 +167,10 @@
 	// belowSince is since when it has been well below; zero if it is not.
 	belowSince time.Time
 	// throttle is the speed limit in percent last applied, or the percentage with which the run was adopted; throttlePending
-	// means that a throttle command is outstanding.
+	// means that a throttle command is outstanding, throttleUnknown that a later one may have been executed.
 	throttle        int
 	throttlePending bool
+	throttleUnknown bool
 	// lateStart means that the run was started although its worker was cordoned.
 	lateStart  bool
 	checkpoint string
--- a/internal/sched/engine/latency.go
+++ b/internal/sched/engine/latency.go
@@ -65,7 +65,7 @@
 			if harmed {
 				want = 0
 			}
-			if r.throttle != want {
+			if r.throttle != want || r.throttleUnknown {
 				r.throttlePending = true
 				commands = append(commands, Throttle{Worker: w.ID, Address: w.Address, Run: r.key, Percent: want})
 			}
