engine: Acknowledgments reach only the incarnation that numbered the ends

What callers would see: the ends that a restarted worker lists are not taken note of until another task runs there (Acks).

Cause: a renewal that was prepared for the former incarnation of a worker and answered by the new one counted its acknowledged number as delivered to the new one, whose ends are numbered from 1 again. The first ends of that one were then never acknowledged by a renewal of their own.

Evidence: TestScripts/restartacked fails without the change ("no look", expected "seen 1").

Why it works: a renewal carries the incarnation that numbered the ends, and its number counts as delivered only if that is still the worker's after the reply. The scripts pass the incarnation on with the number.

--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -46,6 +46,8 @@
 	LeaseEnd    int64
 	// AckedEnd acknowledges all ended runs up to this number.
 	AckedEnd int64
+	// Incarnation is the one of the worker that numbered these ends.
+	Incarnation int64
 	// Wait is how long the worker may delay its reply until a run ends; 0 asks for a reply at once.
 	Wait time.Duration
 	// Prompt asks a relay to report the first reply, and not to repeat the renewal until a run ends: the reply may show that a
@@ -65,7 +67,7 @@
 	if !ok || w.ended {
 		return Renewal{}, 0, false
 	}
-	o := Renewal{Worker: id, Address: w.Address}
+	o := Renewal{Worker: id, Address: w.Address, Incarnation: w.Incarnation}
 	if w.responsive() && w.confirmed {
 		// Ends are numbered anew after a restart, and a worker that does not reply may have restarted under its id.
 		o.AckedEnd = w.ackedEnd
@@ -201,7 +203,9 @@
 	w.unresponsiveSince, w.doubtedSince = time.Time{}, time.Time{}
 	w.failures = 0
 	w.silent = false
-	w.ackDelivered = max(w.ackDelivered, o.AckedEnd)
+	if o.Incarnation == w.Incarnation {
+		w.ackDelivered = max(w.ackDelivered, o.AckedEnd)
+	}
 	first := !w.confirmed
 	w.confirmed = true
 	sc.handleEnds(w, reply.Ended)
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -404,7 +404,8 @@
 			Checkpoint: m["saved"]})
 	}
 	time.Sleep(time.Millisecond)
-	s.scheduler.HandleRenewal(Renewal{Worker: id, AckedEnd: s.renewals[id].AckedEnd}, reply, time.Now())
+	o := Renewal{Worker: id, AckedEnd: s.renewals[id].AckedEnd, Incarnation: s.renewals[id].Incarnation}
+	s.scheduler.HandleRenewal(o, reply, time.Now())
 }
 
 // wait lets time pass and calls Tick ten times a second, as in production.
