leader: A machine that is busy after a lost reply counts as down

What callers would see: more machines down for their maintenance than the cap of their wave (LIMIT).

Cause: the call that began a maintenance had no reply, and its repetition was declined as busy because of that. The busy result ended the operation, so that by a list from before the call the machine counted as pending and its place in the wave as free, and its worker got tasks again.

Why it works: an operation with a call of unknown outcome outlives a busy result, with its worker cordoned and closed and without further calls, until a list that was requested after that result shows the machine up or, for a maintenance, at least not in maintenance.

TestNothingStartsDuringMachineCall expected a start right after the busy result, although the platform may be carrying an earlier call out. It now expects none by an older list or by one that shows the maintenance, no further call meanwhile, and the start after a later list that shows the machine up.

--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -103,6 +103,8 @@
 	slow bool
 	// uncertain means that the result of a call was Unknown, so that the platform may still carry it out.
 	uncertain bool
+	// declinedAt is when the machine was Busy after such a result, maybe because of the operation itself; zero before that.
+	declinedAt time.Time
 }
 
 // mover decides on the operations on machines and calls the platform for them. The session's mu guards its fields; all
@@ -217,13 +219,14 @@
 }
 
 // finishOperations removes the operations whose machine is back, in a list requested after the expected downtime, or is
-// no longer listed.
+// no longer listed, and those that a Busy machine does not carry out, by a list requested after that result.
 func (m *mover) finishOperations() {
 	for name, op := range m.operations {
 		x, ok := m.machines[name]
 		back := ok && x.Up && !op.startedAt.IsZero() && !m.listedAt.Before(op.startedAt.Add(m.expectedDowntime(op)))
 		missing := !ok && !op.calling && m.listedAt.After(op.startedAt)
-		if back || missing {
+		declined := ok && !op.declinedAt.IsZero() && !m.listedAt.Before(op.declinedAt) && (x.Up || op.wave != 0 && !x.InMaintenance)
+		if back || missing || declined {
 			m.releaseOperation(op)
 		}
 	}
@@ -236,14 +239,14 @@
 	return m.session.service.Moves.Move
 }
 
-// dueOperations cordons the workers of the operations that have not started, except those with a call in progress or in
-// the pause after one. Of these operations it marks those whose machine is empty as calling, closes their workers and
+// dueOperations cordons the workers of the operations that have not started, except those with a call in progress, in
+// the pause after one or waiting for a list. Of these operations it marks those whose machine is empty as calling, closes their workers and
 // returns them.
 func (m *mover) dueOperations() []*operation {
 	var due []*operation
 	now := time.Now()
 	for _, op := range m.operations {
-		if op.calling || !op.startedAt.IsZero() || now.Before(op.retryAt) {
+		if op.calling || !op.startedAt.IsZero() || !op.declinedAt.IsZero() || now.Before(op.retryAt) {
 			continue
 		}
 		if op.worker != "" {
@@ -314,6 +317,11 @@
 		}
 	case Busy:
 		m.busyUntil[op.machine] = time.Now().Add(busyBackoff)
+		if op.uncertain {
+			// An earlier call may have made the machine busy, so that it counts as down until a list shows otherwise.
+			op.declinedAt = time.Now()
+			return
+		}
 		m.releaseOperation(op)
 	case Unavailable, Unknown:
 		// The call is repeated. The worker stays cordoned meanwhile, and also closed while the platform may still carry a
--- a/internal/serve/leader/moves_test.go
+++ b/internal/serve/leader/moves_test.go
@@ -121,8 +121,20 @@
 		expect("while the platform may carry the call out", 0)
 		m.handleResult(op, Unavailable)
 		expect("while the platform may carry out an earlier call", 0)
+		m.machines, m.listedAt = map[string]Machine{"m": {Name: "m", Up: true, Worker: "w"}}, time.Now()
+		time.Sleep(time.Millisecond)
 		m.handleResult(op, Busy)
-		expect("after the platform has declined", 1)
+		m.finishOperations()
+		expect("while the machine may be busy with an earlier call", 0)
+		if len(m.dueOperations()) != 0 {
+			t.Error("another call for a machine that may be busy with an earlier one")
+		}
+		m.machines, m.listedAt = map[string]Machine{"m": {Name: "m", InMaintenance: true}}, time.Now()
+		m.finishOperations()
+		expect("while a list shows that the machine is busy with an earlier call", 0)
+		m.machines, m.listedAt = map[string]Machine{"m": {Name: "m", Up: true, Worker: "w"}}, time.Now()
+		m.finishOperations()
+		expect("after a list has shown that the platform has declined", 1)
 	})
 }
 
