engine: Second copies of a start count also after a list

What callers would see: a task that must run once runs twice at the same time (TWICE). Its start was sent twice, a list showed the run before the outcome came, and the worker restarted under its ID and executed the other copy late.

Cause: the outcome of a start counted only while it was outstanding. A list that shows the run settles the start, so that the outcome which said that a second copy had been sent was ignored, and the run was released at the restart as one that had been sent once.

Evidence: TestScripts/restartlisted fails without the change ("start run=2 at w2", expected the stop of run 1).

Why it works: the run is marked as repeated whatever its phase is, as the outcome says nothing of the other copy. The outcomes of second copies are then handled like those of a repeated start, which do the same.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -135,7 +135,12 @@
 		return
 	}
 	r := w.runs[c.Run]
-	if r == nil || r.phase != startSent {
+	if r == nil {
+		return
+	}
+	// A list may have shown the run before, which says nothing of the other copy.
+	r.repeated = r.repeated || result == AppliedAgain || result == DeclinedAgain
+	if r.phase != startSent {
 		return
 	}
 	now := time.Now()
@@ -151,11 +156,6 @@
 	case Applied:
 		r.phase = active
 		w.failures = 0
-	case AppliedAgain:
-		r.phase, r.repeated = active, true
-		w.failures = 0
-	case DeclinedAgain:
-		r.phase, r.repeated = startUnknown, true
 	case NoReply:
 		r.phase = startUnknown
 		sc.markUnresponsive(w)
