relay: Outcomes tell when two copies of a start were sent

What callers would see: a task that must run once runs twice at the same time (TWICE). Its start was sent twice and the first copy executed; the worker then restarted under its ID and executed the second copy late, beside the next run.

Cause: the outcome of a start told that a second copy had been sent only if that copy was answered. A late reply to the first copy counted as the execution of the only one, and two copies without a reply looked like one, so that the run was not marked as repeated and was released at the restart.

Why it works: whoever gets the outcome of a start of which two copies were sent knows it: AppliedAgain if either was executed, and the new outcome NoReplyAgain if neither has a reply, which is NoReply for everything but the mark. The outcome has a code of its own on the wire between instances; an earlier build reads an unknown code as no reply, which is what it got before.

Tests that were changed: the cases of TestSecondCopy, TestRelayedOutcomes and TestPanicInRelay in which two copies are sent expect these outcomes instead of Applied and NoReply, which says more; TestRelayedOutcomes tests one that has no reply with a stop too. TestLostAnswersLoad counts both outcomes without a reply.

A reply to the first copy that comes after the second one was sent no longer shrinks the bound on outstanding starts. The allowance for second copies bounds how many these are. The channel that tells of the second copy's result is closed however the sending ends.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -81,10 +81,13 @@
 	// reachable from here.
 	RelayNotSent
 	RelayNoReply
-	// AppliedAgain and DeclinedAgain: a second copy of a start was applied or declined, and the first one has no reply. The
-	// worker replies, and the first copy may have been executed or may still be.
+	// AppliedAgain and DeclinedAgain: of two copies of a start one was applied or declined. The worker replies, and the other
+	// copy may have been executed or may still be.
 	AppliedAgain
 	DeclinedAgain
+	// NoReplyAgain: neither copy of a start has a conclusive reply. RelayNoReplyAgain is the same for copies of a relay.
+	NoReplyAgain
+	RelayNoReplyAgain
 )
 
 // Relayed returns the outcome as the leader sees it if a relay had it.
@@ -94,6 +97,8 @@
 		return RelayNotSent
 	case NoReply:
 		return RelayNoReply
+	case NoReplyAgain:
+		return RelayNoReplyAgain
 	default:
 		return o
 	}
@@ -102,7 +107,15 @@
 // outcomeNames are the names of the outcomes in logs and in a label of the metrics.
 var outcomeNames = [...]string{"carried out", "not sent", "no reply", "unhealthy", "full", "outdated", "overdue",
 	"fenced", "replaced", "no ticket", "invalid", "withheld", "relay lost", "not sent by relay", "no reply to relay",
-	"carried out at the second copy", "second copy declined"}
+	"carried out at the second copy", "second copy declined", "no reply to two copies", "no reply to two copies of relay"}
+
+// OutcomeCount is the number of outcomes.
+const OutcomeCount = len(outcomeNames)
+
+// ofTwoCopies reports whether two copies of a start were sent.
+func (o Outcome) ofTwoCopies() bool {
+	return o == AppliedAgain || o == DeclinedAgain || o == NoReplyAgain || o == RelayNoReplyAgain
+}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -139,7 +152,7 @@
 		return
 	}
 	// A list may have shown the run before, which says nothing of the other copy.
-	r.repeated = r.repeated || result == AppliedAgain || result == DeclinedAgain
+	r.repeated = r.repeated || result.ofTwoCopies()
 	if r.phase != startSent {
 		return
 	}
--- a/internal/sched/engine/pending.go
+++ b/internal/sched/engine/pending.go
@@ -72,7 +72,7 @@
 	delete(p.issued, key)
 	switch {
 	case result == NoReply || result == NotSent || result == RelayNoReply || result == RelayNotSent || result == RelayLost ||
-		result == AppliedAgain || result == DeclinedAgain:
+		result.ofTwoCopies():
 	case now.Sub(sent) < p.lateReply:
 		if p.held {
 			p.limit = min(p.limit+startLimitGain*p.scale, maxPendingStarts*p.scale)
--- a/internal/sched/engine/unknown.go
+++ b/internal/sched/engine/unknown.go
@@ -78,9 +78,9 @@
 	case Applied, AppliedAgain:
 		r.phase = active
 		w.failures = 0
-	case NoReply, NotSent:
+	case NoReply, NoReplyAgain, NotSent:
 		sc.markUnresponsive(w)
-	case RelayNoReply, RelayNotSent:
+	case RelayNoReply, RelayNoReplyAgain, RelayNotSent:
 		sc.doubt(w)
 	case RelayLost, DeclinedAgain:
 	case Outdated:
--- a/internal/serve/leader/orders.go
+++ b/internal/serve/leader/orders.go
@@ -135,7 +135,7 @@
 
 func newOrderMetrics(r metrics.Registry) orderMetrics {
 	m := orderMetrics{outcomes: map[engine.Outcome]metrics.Counter{}, latency: histogram(r, "worker_order_ms")}
-	for o := engine.Applied; o <= engine.DeclinedAgain; o++ {
+	for o := engine.Outcome(0); int(o) < engine.OutcomeCount; o++ {
 		m.outcomes[o] = metrics.GetOrRegisterCounter(fmt.Sprintf("worker_orders{result=%q}", o), r)
 	}
 	return m
--- a/internal/serve/relay/hedge.go
+++ b/internal/serve/relay/hedge.go
@@ -55,9 +55,7 @@
 		if !h.begin(func() bool { return e.allow() && may() }) {
 			return
 		}
-		h.result = e.sendSecond(ctx, o, fence)
-		close(h.done)
-		if h.result.Outcome != engine.NoReply {
+		if h.send(func() Result { return e.sendSecond(ctx, o, fence) }) {
 			cancel()
 		}
 	})
@@ -87,6 +85,18 @@
 	return h.sent
 }
 
+// send sends the copy, sets its result and reports whether there was a reply.
+func (h *hedge) send(copyOrder func() Result) bool {
+	defer close(h.done)
+	h.result = copyOrder()
+	return h.replied()
+}
+
+// replied reports whether there was a reply to the copy; done must be closed, except in send.
+func (h *hedge) replied() bool {
+	return h.result.Outcome != engine.NoReply && h.result.Outcome != engine.NoReplyAgain
+}
+
 // end keeps the copy from being sent, and reports whether it has been sent before.
 func (h *hedge) end() bool {
 	h.mu.Lock()
@@ -99,29 +109,51 @@
 // one shows that the order was executed or never will be, the result rests on the second copy: what declines the first one,
 // or keeps it here, says nothing of the second.
 func (h *hedge) combine(first Result) Result {
+	_, isStart := first.Command.(engine.Start)
 	switch first.Outcome {
-	case engine.Applied, engine.Fenced, engine.Replaced:
+	case engine.Applied:
+		if isStart {
+			first.Outcome = engine.AppliedAgain
+		}
+		return first
+	case engine.Fenced, engine.Replaced:
+		return first
+	case engine.NotSent:
+		// The second copy is the only one.
+		if h.isDone() && h.replied() {
+			return h.result
+		}
+		first.Outcome = engine.NoReply
 		return first
-	case engine.NotSent, engine.NoReply:
-		select {
-		case <-h.done:
+	case engine.NoReply:
+		if h.isDone() {
 			return h.result
-		default:
-			first.Outcome = engine.NoReply
-			return first
 		}
+		if isStart {
+			first.Outcome = engine.NoReplyAgain
+		}
+		return first
 	default:
 	}
 	<-h.done
-	if h.result.Outcome != engine.NoReply {
+	if h.replied() {
 		return h.result
 	}
-	if _, ok := first.Command.(engine.Start); ok {
+	if isStart {
 		first.Outcome = engine.DeclinedAgain
 	}
 	return first
 }
 
+func (h *hedge) isDone() bool {
+	select {
+	case <-h.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // sendSecond sends a second copy of an order. What declines it says nothing of the first copy, which may still be executed.
 func (e *Executor) sendSecond(ctx context.Context, o Order, fence int64) Result {
 	sent := time.Now()
@@ -129,6 +161,7 @@
 	r.Sent = sent
 	if r.Outcome == engine.NotSent {
 		r.Outcome = engine.NoReply
+		return r
 	}
 	if _, ok := o.Command.(engine.Start); !ok {
 		return r
@@ -136,7 +169,9 @@
 	switch r.Outcome {
 	case engine.Applied:
 		r.Outcome = engine.AppliedAgain
-	case engine.NoReply, engine.Fenced, engine.Replaced:
+	case engine.NoReply:
+		r.Outcome = engine.NoReplyAgain
+	case engine.Fenced, engine.Replaced:
 	default:
 		r.Outcome = engine.DeclinedAgain
 	}
--- a/internal/serve/relay/hedge_test.go
+++ b/internal/serve/relay/hedge_test.go
@@ -78,7 +78,7 @@
 			hedgeDelay + testReply},
 		{"second copy fenced", start, []answer{lost, {testReply, engine.Fenced}}, true, engine.Fenced, 2, hedgeDelay + testReply},
 		{"second copy not sent", start, []answer{lost, {0, engine.NotSent}}, true, engine.NoReply, 2, testTimeout},
-		{"first answer late", start, []answer{{hedgeDelay + 2*testReply, engine.Applied}, lost}, true, engine.Applied, 2,
+		{"first answer late", start, []answer{{hedgeDelay + 2*testReply, engine.Applied}, lost}, true, engine.AppliedAgain, 2,
 			hedgeDelay + 2*testReply},
 		{"declined before the second copy was executed", start, []answer{{hedgeDelay + 10*testReply, engine.Full},
 			{20 * testReply, engine.Applied}}, true, engine.AppliedAgain, 2, hedgeDelay + 20*testReply},
@@ -86,7 +86,7 @@
 			{20 * testReply, engine.Applied}}, true, engine.AppliedAgain, 2, hedgeDelay + 20*testReply},
 		{"declined, second copy unknown", start, []answer{{hedgeDelay + 10*testReply, engine.Full}, lost}, true,
 			engine.DeclinedAgain, 2, hedgeDelay + testTimeout},
-		{"silent worker", start, []answer{lost, lost}, true, engine.NoReply, 2, testTimeout},
+		{"silent worker", start, []answer{lost, lost}, true, engine.NoReplyAgain, 2, testTimeout},
 		{"no permission left", start, []answer{lost, {testReply, engine.Applied}}, false, engine.NoReply, 1, testTimeout},
 		{"renewal that waits", renewal, []answer{{time.Second, engine.Applied}}, true, engine.Applied, 1, time.Second},
 	} {
@@ -135,7 +135,8 @@
 			loops.Go(func() {
 				for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(95 * time.Millisecond) {
 					orders.Add(1)
-					if e.Run(t.Context(), Order{Command: engine.Start{Worker: "w"}}, 1, func() bool { return true }).Outcome == engine.NoReply {
+					r := e.Run(t.Context(), Order{Command: engine.Start{Worker: "w"}}, 1, func() bool { return true })
+					if r.Outcome == engine.NoReply || r.Outcome == engine.NoReplyAgain {
 						unknown.Add(1)
 					}
 				}
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -164,14 +164,23 @@
 // show that a worker does not reply.
 func TestRelayedOutcomes(t *testing.T) {
 	testRelay(t, func(s *setup) {
-		for outcome, want := range map[engine.Outcome]engine.Outcome{engine.NoReply: engine.RelayNoReply,
-			engine.NotSent: engine.RelayNotSent, engine.Full: engine.Full, engine.Fenced: engine.Fenced} {
-			s.workers.outcome = outcome
-			before := s.outcomes()[want]
-			s.pool.Send("r", []relay.Order{start(1)})
+		stop := relay.Order{Sent: time.Now(), Command: engine.Stop{Worker: "w", Address: "w:1", Run: run(1)}}
+		for _, x := range []struct {
+			order         relay.Order
+			outcome, want engine.Outcome
+		}{
+			{stop, engine.NoReply, engine.RelayNoReply},
+			{start(1), engine.NoReply, engine.RelayNoReplyAgain},
+			{start(1), engine.NotSent, engine.RelayNotSent},
+			{start(1), engine.Full, engine.Full},
+			{start(1), engine.Fenced, engine.Fenced},
+		} {
+			s.workers.outcome = x.outcome
+			before := s.outcomes()[x.want]
+			s.pool.Send("r", []relay.Order{x.order})
 			pass(20 * time.Millisecond)
-			if s.outcomes()[want] != before+1 {
-				t.Errorf("%v becomes %v", outcome, s.outcomes())
+			if s.outcomes()[x.want] != before+1 {
+				t.Errorf("%v becomes %v", x.outcome, s.outcomes())
 			}
 		}
 	})
@@ -317,7 +326,7 @@
 		bad.Command = engine.Start{Worker: "w", Address: "w:1", Run: run(1), Spec: "malformed"}
 		s.pool.Send("r", []relay.Order{bad, start(2)})
 		pass(time.Second)
-		if got := s.outcomes(); got[engine.RelayNoReply] != 1 || got[engine.Applied] != 1 {
+		if got := s.outcomes(); got[engine.RelayNoReplyAgain] != 1 || got[engine.Applied] != 1 {
 			t.Errorf("outcomes: %v", got)
 		}
 	})
--- a/internal/serve/relay/wire.go
+++ b/internal/serve/relay/wire.go
@@ -105,6 +105,7 @@
 	engine.LeaseExpired: peer.CodeLeaseExpired, engine.Fenced: peer.CodeFenced, engine.Replaced: peer.CodeReplaced,
 	engine.TicketRequired: peer.CodeTicketRequired, engine.Invalid: peer.CodeInvalid, engine.Withheld: peer.CodeWithheld,
 	engine.AppliedAgain: peer.CodeAppliedAgain, engine.DeclinedAgain: peer.CodeDeclinedAgain,
+	engine.NoReplyAgain: peer.CodeNoReplyAgain,
 }
 
 var outcomes = invert(codes)
--- a/internal/wire/peer/relay.go
+++ b/internal/wire/peer/relay.go
@@ -141,6 +141,7 @@
 	CodeWithheld       OutcomeCode = 12
 	CodeAppliedAgain   OutcomeCode = 13
 	CodeDeclinedAgain  OutcomeCode = 14
+	CodeNoReplyAgain   OutcomeCode = 15
 )
 
 // Validate returns an error for an invalid message.
