engine: Stops confirmed by a former incarnation don't count

What callers would see: a task runs twice at the same time (TWICE). A start of unknown outcome was to be ruled out by a stop, which the worker confirmed before it restarted under its ID; the new incarnation has seen no stop and executes the start late.

Cause: a restart withdraws the confirmation of the stops, but a confirmation that was read after the restart was known counted, so that the next list released the run. A run that the new incarnation lists would not have been stopped again.

Evidence: TestScripts/restartstop fails without the change ("start run=2 at w2", expected another stop of run 1).

Why it works: a confirmation counts only for a stop that was sent for this run after the last known restart of the worker, which is another incarnation's otherwise. A stop that the new incarnation has executed before its restart was known is sent again.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -136,7 +136,7 @@
 		sc.pending.handleOutcome(c.Run, result, sent, time.Now())
 		sc.handleStartOutcome(c, result)
 	case Stop:
-		sc.handleStopOutcome(c, result)
+		sc.handleStopOutcome(c, result, sent)
 	case Throttle:
 		sc.handleThrottleOutcome(c, result)
 	}
@@ -207,7 +207,7 @@
 	}
 }
 
-func (sc *Scheduler) handleStopOutcome(c Stop, result Outcome) {
+func (sc *Scheduler) handleStopOutcome(c Stop, result Outcome, sent time.Time) {
 	w := sc.workers[c.Worker]
 	if w == nil {
 		return
@@ -218,7 +218,10 @@
 	}
 	switch result {
 	case Applied:
-		r.stopAppliedAt = time.Now()
+		// A stop that a former incarnation executed rules nothing out in this one.
+		if !r.stopSentAt.IsZero() && !sent.Before(w.restartedAt) {
+			r.stopAppliedAt = time.Now()
+		}
 	case Replaced:
 		sc.markCrashed(w, "another worker answers at its address")
 	case NotSent, NoReply:
--- a/internal/sched/engine/restart.go
+++ b/internal/sched/engine/restart.go
@@ -16,7 +16,7 @@
 		zap.Int64("born", incarnation), zap.Int64("former", w.Incarnation), zap.Int("runs", len(w.runs)))
 	sc.giveUpRunsBefore(w, "worker restarted")
 	sc.recordCrash(w)
-	w.Incarnation = incarnation
+	w.Incarnation, w.restartedAt = incarnation, time.Now()
 	w.confirmed, w.ended = false, false
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
 	w.unackedEnds = nil
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -58,7 +58,7 @@
 }
 
 // run executes one command of a script. "orders" lists the commands that are due and, with "carried", reports them all
-// as applied, "settle" reports the outcome of one; "next" prepares a renewal, "look" and "unanswered" deliver a reply
+// as applied, "settle" reports the outcome of one, sent a time "ago"; "next" prepares a renewal, "look" and "unanswered" deliver a reply
 // to it, with "born" one of that incarnation, or none, "advise" replies to the last ticket request; "ready" lets every
 // worker report empty run lists and commits a batch; "confirmed" confirms leadership as of now, before the first of them
 // leases expire unconditionally; "hold" cordons a worker, "close" closes it, "due" names the workers to be maintained soon, "out" evacuates a zone.
@@ -327,9 +327,15 @@
 	var text, result string
 	d.ScanArgs(s.t, "task", &text)
 	d.ScanArgs(s.t, "result", &result)
+	sent := time.Now()
+	if d.HasArg("ago") {
+		var ago string
+		d.ScanArgs(s.t, "ago", &ago)
+		sent = sent.Add(-s.duration(ago))
+	}
 	for _, c := range s.commands {
 		if strings.Contains(describe(c), " "+text+" ") {
-			s.scheduler.HandleOutcome(c, outcomes[result], time.Now())
+			s.scheduler.HandleOutcome(c, outcomes[result], sent)
 			return ""
 		}
 	}
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -40,6 +40,8 @@
 	releasedLease int64
 	// formerLeasesEnd is when the leases of a former leader have certainly expired; zero if there are none.
 	formerLeasesEnd time.Time
+	// restartedAt is when the last restart of the worker became known; zero if none did.
+	restartedAt time.Time
 	// lateStartsUntil is until when runs may exist whose start was meant for a former incarnation; zero if there are none.
 	lateStartsUntil time.Time
 	// The worker numbers the ends of its runs. handledEnd is the number of the last end handled, ackedEnd that of the
