engine: Replies from a former address say nothing of the worker

What callers would see: a task runs twice at the same time (TWICE). A worker restarted under its ID at another address, and an order that was sent to the former address was answered late that another worker is there.

Cause: that answer marked the worker as ended, whichever address the order was for, so that the runs of the new incarnation were released at once.

Evidence: TestReplyFromFormerAddress fails without the change (run 2 at w2 beside run 1 at w1). The test was extended by a late answer to a stop, with which it fails also if only renewals and starts are checked.

Why it works: that another worker answers ends a worker only if the order was for its present address. Otherwise the order counts as lost, which leaves its outcome open and says nothing of the worker.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -156,6 +156,7 @@
 	if r.phase != startSent {
 		return
 	}
+	result = w.outcomeAt(c.Address, result)
 	now := time.Now()
 	r.phaseSince = now
 	if result != Applied {
@@ -216,7 +217,7 @@
 	if r == nil {
 		return
 	}
-	switch result {
+	switch w.outcomeAt(c.Address, result) {
 	case Applied:
 		// A stop that a former incarnation executed rules nothing out in this one.
 		if !r.stopSentAt.IsZero() && !sent.Before(w.restartedAt) {
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -161,7 +161,7 @@
 	if !ok {
 		return
 	}
-	switch result {
+	switch w.outcomeAt(o.Address, result) {
 	case Replaced:
 		sc.markCrashed(w, "another worker answers at its address")
 		return
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -113,6 +113,15 @@
 // estimatedClock estimates the worker's clock; it lags the real one by at most the transit time of the last reply.
 func (w *worker) estimatedClock() int64 { return w.clock + time.Since(w.clockReadAt).Milliseconds() }
 
+// outcomeAt returns the outcome of an order to an address: what another worker answers at a former address says nothing of
+// this one.
+func (w *worker) outcomeAt(address string, result Outcome) Outcome {
+	if result == Replaced && address != w.Address {
+		return RelayLost
+	}
+	return result
+}
+
 // leaseExpiry returns when every lease that this leader sent to the worker has certainly expired.
 func (w *worker) leaseExpiry() time.Time {
 	if w.clockReadAt.IsZero() {
