engine: Starts that may have been sent twice count after a restart

What callers would see: a task that must run once runs twice at the same time (TWICE). A list showed the run, its worker restarted under its ID before the outcome of the start came or after that was lost with its relay, and the new incarnation executed a second copy late.

Cause: whether a second copy of a start was sent is known from its outcome. A run without one was released at the restart as one that had been sent once.

Evidence: TestScripts/restartpending fails without the change (no order, expected the stops of both runs).

Why it works: until an outcome tells how many copies were sent, the run counts as possible after a restart for as long as copies may be executed, as one that was sent twice does. Still open: the runs that a leader adopts, whose outcomes only the former one knew.

--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -153,6 +153,7 @@
 	}
 	// A list may have shown the run before, which says nothing of the other copy.
 	r.repeated = r.repeated || result.ofTwoCopies()
+	r.copiesUnknown = result == RelayLost
 	if r.phase != startSent {
 		return
 	}
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -144,8 +144,9 @@
 	phase     phase
 	// adopted means that a former leader started the run, at a time that is not known.
 	adopted bool
-	// repeated means that the start was sent more than once.
-	repeated bool
+	// repeated means that the start was sent more than once, copiesUnknown that it may have been: its outcome is outstanding or
+	// was lost with its relay.
+	repeated, copiesUnknown bool
 	// finiteIndex is the run's place among the finite runs of its worker.
 	finiteIndex int
 	// need is what the run reserves on its worker, charge what it uses of its customer's cap.
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -450,7 +450,7 @@
 	r := &run{
 		key: work.RunKey{Task: s.task(index), Number: number}, stepState: s, worker: w, phase: startSent,
 		need: s.need, charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100,
-		lateStart: w.cordoned,
+		lateStart: w.cordoned, copiesUnknown: true,
 	}
 	t.runs = append(t.runs, r)
 	sc.pending.issued[r.key] = now
--- a/internal/sched/engine/restart.go
+++ b/internal/sched/engine/restart.go
@@ -35,13 +35,13 @@
 }
 
 // giveUpRunsBefore gives up the runs of a worker's former incarnation. A run that this one did not list, or whose start was
-// sent more than once, may exist in the new one, if a start came late: it is stopped there, which rules it out, and counts as
-// possible until then.
+// or may have been sent more than once, may exist in the new one, if a start came late: it is stopped there, which rules it
+// out, and counts as possible until then.
 func (sc *Scheduler) giveUpRunsBefore(w *worker, reason string) {
 	now := time.Now()
 	for _, r := range w.runs {
 		sc.rememberGivenUp(r, reason)
-		copiesLeft := r.repeated && now.Sub(r.startedAt) < lateCommandTime
+		copiesLeft := (r.repeated || r.copiesUnknown) && now.Sub(r.startedAt) < lateCommandTime
 		if !r.listedAt.IsZero() && !copiesLeft {
 			sc.releaseRun(r)
 			continue
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -321,7 +321,7 @@
 
 var outcomes = map[string]Outcome{"carried": Applied, "notsent": NotSent, "noreply": NoReply, "full": Full,
 	"replaced": Replaced, "ticketless": TicketRequired, "unhealthy": Unhealthy, "outdated": Outdated, "withheld": Withheld,
-	"again": AppliedAgain, "declinedagain": DeclinedAgain}
+	"again": AppliedAgain, "declinedagain": DeclinedAgain, "relaylost": RelayLost}
 
 func (s *script) handleOutcome(d *datadriven.TestData) string {
 	var text, result string
