inlet: Headers, the accept queue and short waits belong to the bounds

Headers have a share of the memory of their own; each byte counts 16 times while it arrives, and what the header holds once it is complete. - A burst of ordinary callers beyond the limit was closed before anything had been read of them, 48 of 64 (TestBurstGetsResponses): a connection may wait 100 ms in any case. - A connection could be closed between the end of its handler and the sending of the response, so that the caller did not learn that its job was accepted (testdata/responding).

--- a/internal/serve/inlet/body.go
+++ b/internal/serve/inlet/body.go
@@ -52,6 +52,9 @@
 		tooLarge := (*http.MaxBytesError)(nil)
 		switch {
 		case errors.Is(err, io.EOF):
+			if c := b.connection; c != nil && !i.serve(c) {
+				return b, errClosed()
+			}
 			return b, nil
 		case errors.As(err, &tooLarge):
 			return b, reject.New(reject.KindBody, reject.WorkNotRun, "body over %d bytes", limit)
@@ -101,20 +104,23 @@
 	defer i.mu.Unlock()
 	for i.bodies+n > i.limits.Bodies && i.bodies > b.reserved {
 		if b.connection != nil && b.connection.gone {
-			return reject.New(reject.KindRequest, reject.WorkNotRun, "body not received")
+			return errClosed()
 		}
-		if i.bodies-i.doomed+n > i.limits.Bodies {
-			oldest := i.uploads.Front()
-			if oldest == nil || oldest.Value.(*connection) == b.connection {
-				i.rejected.Inc(1)
-				i.report()
-				return reject.New(reject.KindFull, reject.WorkNotRun, "the memory of %d bytes for request bodies is used up",
-					i.limits.Bodies).WithRetryAfter(fullRetryAfter)
-			}
-			i.evict(oldest.Value.(*connection))
+		if i.bodies-i.doomed+n <= i.limits.Bodies {
+			i.changed.Wait()
 			continue
 		}
-		i.changed.Wait()
+		oldest := i.uploads.Front()
+		if oldest != nil && i.letWait(oldest.Value.(*connection).since) {
+			continue
+		}
+		if oldest == nil || oldest.Value.(*connection) == b.connection {
+			i.rejected.Inc(1)
+			i.report()
+			return reject.New(reject.KindFull, reject.WorkNotRun, "the memory of %d bytes for request bodies is used up",
+				i.limits.Bodies).WithRetryAfter(fullRetryAfter)
+		}
+		i.evict(oldest.Value.(*connection))
 	}
 	i.bodies += n
 	b.reserved += n
@@ -124,6 +130,9 @@
 	return nil
 }
 
+// errClosed is the rejection of a request whose connection has been closed in favour of another one; the caller does not get it.
+func errClosed() error { return reject.New(reject.KindRequest, reject.WorkNotRun, "body not received") }
+
 // isDoomed reports whether the connection has been closed while the body was received; the inlet's mu must be held.
 func (b *Body) isDoomed() bool {
 	return b.connection != nil && b.connection.gone && b.connection.body == b
@@ -142,6 +151,19 @@
 	return all
 }
 
+// maxDrain is the largest rest of a body in bytes that is read after the response to its request.
+const maxDrain = 256 << 10
+
+// Drain reads the rest of a request's body after its response has been sent, since closing the connection before would reset
+// it. The connection waits for its caller meanwhile.
+func (i *Inlet) Drain(r *http.Request) {
+	if c := connectionOf(r); c != nil {
+		i.wait(c)
+	}
+	// The caller has the response, whatever becomes of the rest.
+	_, _ = io.CopyN(io.Discard, r.Body, maxDrain)
+}
+
 // Release ends the reservation of the body's bytes.
 func (b *Body) Release() {
 	for _, x := range b.blocks {
--- a/internal/serve/inlet/inlet.go
+++ b/internal/serve/inlet/inlet.go
@@ -3,7 +3,7 @@
 //
 // A connection that waits for its caller (for a request, the rest of a header or of a body) is closed when another one needs
 // its place, the longest waiting first: an ordinary request arrives within milliseconds. One whose request has been received is
-// never closed. Closing says nothing of the request, which has not run.
+// never closed until its response has been sent. Closing says nothing of the request, which has not run.
 package inlet
 
 import (
@@ -15,8 +15,13 @@
 	"go.uber.org/zap"
 )
 
-// logInterval is the least time between two lines of the log about closed connections.
-const logInterval = time.Second
+const (
+	// logInterval is the least time between two lines of the log about closed connections.
+	logInterval = time.Second
+	// leastWait is how long a connection may wait for its caller in any case. It covers the time in which this process does
+	// not get to read what has arrived.
+	leastWait = 100 * time.Millisecond
+)
 
 // Inlet holds the connections of callers and the memory for their requests. It is safe for concurrent use.
 type Inlet struct {
@@ -31,9 +36,10 @@
 	connections map[*connection]struct{}
 	// waiting are those that wait for their caller, uploads the incomplete bodies in memory, the longest first.
 	waiting, uploads *list.List
-	// bodies are the reserved bytes of request bodies, doomed those of them whose connections have been closed.
-	bodies, doomed int64
-	// changed is signalled when bytes of bodies are released and when a connection is closed in favour of another one.
+	// headers and bodies are the reserved bytes of request headers and bodies, doomed those of the bodies whose connections have
+	// been closed.
+	headers, bodies, doomed int64
+	// changed is signalled when bytes of bodies are released, and when a connection is closed or begins or ends to wait.
 	changed  *sync.Cond
 	loggedAt time.Time
 	// loggedClosed and loggedRefused are the counts at the last line of the log.
@@ -49,7 +55,8 @@
 	i.changed = sync.NewCond(&i.mu)
 	r.GetOrRegister("caller_connections", metrics.NewFunctionalGauge(i.open))
 	r.GetOrRegister("caller_body_bytes", metrics.NewFunctionalGauge(i.reserved))
-	log.Info("inlet: limits of callers' connections", zap.Int("connections", l.Connections), zap.Int64("bodies", l.Bodies))
+	log.Info("inlet: limits of callers' connections", zap.Int("connections", l.Connections),
+		zap.Int64("headers", l.Headers), zap.Int64("bodies", l.Bodies))
 	return i
 }
 
@@ -70,20 +77,40 @@
 func (i *Inlet) admit(c *connection) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if len(i.connections) >= i.limits.Connections {
+	for len(i.connections) >= i.limits.Connections {
 		first := i.waiting.Front()
 		if first == nil {
 			i.refused.Inc(1)
 			i.report()
 			return false
 		}
-		i.evict(first.Value.(*connection))
+		if x := first.Value.(*connection); !i.letWait(x.since) {
+			i.evict(x)
+		}
 	}
 	i.connections[c] = struct{}{}
-	c.place = i.waiting.PushBack(c)
+	i.push(c)
 	return true
 }
 
+// letWait waits for a change if leastWait has not passed since a time, and reports whether it did; i.mu must be held.
+func (i *Inlet) letWait(since time.Time) bool {
+	left := leastWait - time.Since(since)
+	if left <= 0 {
+		return false
+	}
+	timer := time.AfterFunc(left, i.changed.Broadcast)
+	defer timer.Stop()
+	i.changed.Wait()
+	return true
+}
+
+// push records that a connection waits for its caller from now on; i.mu must be held.
+func (i *Inlet) push(c *connection) {
+	c.since = time.Now()
+	c.place = i.waiting.PushBack(c)
+}
+
 // evict closes a connection in favour of another one; i.mu must be held.
 func (i *Inlet) evict(c *connection) {
 	i.remove(c)
@@ -101,9 +128,34 @@
 		i.doomed += b.reserved
 	}
 	c.gone = true
+	i.setHeader(c, 0)
 	i.stopWaiting(c)
 }
 
+// setHeader sets what the header of a connection's request takes; i.mu must be held.
+func (i *Inlet) setHeader(c *connection, n int64) {
+	i.headers += n - c.header
+	c.header = n
+}
+
+// receiveHeader records that a number of bytes of a header have arrived. While there is too little memory for all headers it
+// closes the connections that have waited longest for the end of theirs.
+func (i *Inlet) receiveHeader(c *connection, n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if c.gone || !c.heading {
+		return
+	}
+	i.setHeader(c, c.header+int64(n)*headerFactor)
+	for e := i.waiting.Front(); e != nil && i.headers > i.limits.Headers; {
+		x := e.Value.(*connection)
+		e = e.Next()
+		if x.heading && x.header > 0 {
+			i.evict(x)
+		}
+	}
+}
+
 // stopWaiting takes a connection out of the lists of those that wait; i.mu must be held.
 func (i *Inlet) stopWaiting(c *connection) {
 	if c.place != nil {
@@ -114,6 +166,7 @@
 		i.uploads.Remove(c.upload)
 		c.upload = nil
 	}
+	i.changed.Broadcast()
 }
 
 // wait records that a connection waits for its caller from now on.
@@ -121,15 +174,17 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !c.gone && c.place == nil {
-		c.place = i.waiting.PushBack(c)
+		i.push(c)
+		i.changed.Broadcast()
 	}
 }
 
-// serve records that a connection does not wait for its caller any more.
-func (i *Inlet) serve(c *connection) {
+// serve records that a connection does not wait for its caller any more, and reports whether it is still open.
+func (i *Inlet) serve(c *connection) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.stopWaiting(c)
+	return !c.gone
 }
 
 // report logs what was closed and refused since the last line, once per logInterval; i.mu must be held.
@@ -142,6 +197,6 @@
 	i.log.Warn("inlet: closing connections, callers hold too many or too much",
 		zap.Int64("closed", closed-i.loggedClosed), zap.Int64("refused", refused-i.loggedRefused),
 		zap.Int("open", len(i.connections)), zap.Int("waiting", i.waiting.Len()), zap.Int("uploads", i.uploads.Len()),
-		zap.Int64("bodies", i.bodies))
+		zap.Int64("headers", i.headers), zap.Int64("bodies", i.bodies))
 	i.loggedAt, i.loggedClosed, i.loggedRefused = now, closed, refused
 }
--- a/internal/serve/inlet/limits.go
+++ b/internal/serve/inlet/limits.go
@@ -4,27 +4,31 @@
 type Limits struct {
 	// Connections is the largest number of open connections.
 	Connections int
-	// Bodies is the largest number of bytes of request bodies in memory.
-	Bodies int64
+	// Headers and Bodies are the largest numbers of bytes that request headers and bodies take in memory.
+	Headers, Bodies int64
 }
 
 const (
 	// DefaultMemory and DefaultDescriptors stand for limits of the process that are not known.
 	DefaultMemory      = 256 << 20
 	DefaultDescriptors = 4096
-	// connectionShare and bodyShare are the shares of the process's memory for connections and for request bodies. The rest
-	// is for the leader's state, peers, the store and the runtime.
-	connectionShare = 0.25
+	// connectionShare, headerShare and bodyShare are the shares of the process's memory for connections, request headers and
+	// request bodies. The rest is for the leader's state, peers, the store and the runtime.
+	connectionShare = 0.2
+	headerShare     = 0.1
 	bodyShare       = 0.125
 	// descriptorShare is the share of the descriptors for callers. A leader needs one or more for each worker.
 	descriptorShare = 0.25
 	// receiveBuffer is the size of a connection's receive buffer in bytes. The kernel doubles it for its own use.
 	receiveBuffer = 16 << 10
-	// connectionMemory is what a connection takes in bytes: its receive buffer, its goroutine, its buffers in the HTTP server
-	// and a header of legal size.
-	connectionMemory = 2*receiveBuffer + 48<<10
-	// minConnections and minBodies keep a small process usable.
+	// connectionMemory is what a connection takes in bytes without a header and a body: its receive buffer and that of a
+	// further one that has not been accepted yet, its goroutine and its buffers in the HTTP server.
+	connectionMemory = 3*receiveBuffer + 48<<10
+	// headerFactor is how many bytes a byte of a header takes at most: many short fields become a map.
+	headerFactor = 16
+	// minConnections, minHeaders and minBodies keep a small process usable.
 	minConnections = 16
+	minHeaders     = 1 << 20
 	minBodies      = 1 << 20
 )
 
@@ -40,7 +44,7 @@
 	byMemory := int64(connectionShare * float64(memory) / connectionMemory)
 	byDescriptors := int64(descriptorShare * float64(descriptors))
 	return Limits{Connections: int(max(min(byMemory, byDescriptors), minConnections)),
-		Bodies: max(int64(bodyShare*float64(memory)), minBodies)}
+		Headers: max(int64(headerShare*float64(memory)), minHeaders), Bodies: max(int64(bodyShare*float64(memory)), minBodies)}
 }
 
 // WithConnections returns the limits with another number of connections, unless that is 0.
--- a/internal/serve/inlet/script_test.go
+++ b/internal/serve/inlet/script_test.go
@@ -88,7 +88,8 @@
 
 // run executes one command: "limits" starts the server, "open" opens connections, "mute" one
 // whose caller does not read until "read", "post" sends the header of a submission
-// with a body of a length, "chunked" one of unknown length, "body" sends bytes of it, "last" ends a chunked body, "get"
+// with a body of a length, "chunked" one of unknown length, "body" sends bytes of it, "last" ends a chunked body, "header"
+// sends that many bytes of a header without its end, "get"
 // sends a request without one, "answer" lets its handler respond, "hang" closes a connection; "state" prints what the
 // callers have seen and what the inlet holds.
 func (s *script) run(d *datadriven.TestData) string {
@@ -98,7 +99,9 @@
 		var bodies int64
 		d.ScanArgs(s.t, "connections", &connections)
 		d.ScanArgs(s.t, "bodies", &bodies)
-		s.start(Limits{Connections: connections, Bodies: bodies})
+		headers := int64(1 << 20)
+		d.MaybeScanArgs(s.t, "headers", &headers)
+		s.start(Limits{Connections: connections, Headers: headers, Bodies: bodies})
 	case "open":
 		for _, a := range d.CmdArgs {
 			s.open(a.Key, true)
@@ -124,6 +127,13 @@
 			text = fmt.Sprintf("%x\r\n%s\r\n", n, text)
 		}
 		s.send(d.CmdArgs[0].Key, text)
+	case "header":
+		n, err := strconv.Atoi(d.CmdArgs[1].Key)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		name := d.CmdArgs[0].Key
+		s.send(name, "GET /"+name+" HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", n))
 	case "last":
 		s.send(d.CmdArgs[0].Key, "0\r\n\r\n")
 	case "get":
