--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -103,9 +103,9 @@
 	callers := &http.Server{Handler: http.HandlerFunc(h.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(h.Log)}
 	ready := &http.Server{Handler: http.HandlerFunc(h.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(h.Log)}
-	metrics := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout,
-		ErrorLog: zap.NewStdLog(h.Log)}
+		ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(h.Log)}
+	metrics := &http.Server{Handler: h.operators(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(h.Log)}
 	listen := func(_ context.Context, address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	failed := make(chan error, 4)
 	for _, x := range []struct {
