--- a/internal/sched/engine/endedlease_test.go
+++ b/internal/sched/engine/endedlease_test.go
@@ -8,6 +8,21 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 )
 
+// checkEndIsNotAcknowledged lets worker w1 list the end of a run and checks that its next renewal does not acknowledge it
+// before the end of a lease on the worker's clock.
+func checkEndIsNotAcknowledged(t *testing.T, sc *Scheduler, run work.RunKey, clock func() int64, leaseEnd int64) {
+	t.Helper()
+	if o, _, ok := sc.NextRenewal("w1"); ok {
+		sc.HandleRenewal(o, work.RenewalReply{Incarnation: 1, Clock: clock(),
+			Ended: []work.End{{Number: 1, Run: run, How: work.Done}}}, time.Now())
+	}
+	store(t, sc)
+	if o, _, _ := sc.NextRenewal("w1"); o.AckedEnd > 0 && clock() < leaseEnd {
+		t.Errorf("the end is acknowledged at %d ms of the worker's clock, its lease lasts until %d, and the task has started again",
+			clock(), leaseEnd)
+	}
+}
+
 // Guards against acknowledging the end of a run whose task has started again: a worker that was marked ended by mistake was
 // used again before its last lease had expired on its clock, which was 2 % slow.
 func TestWorkerMarkedEndedByMistake(t *testing.T) {
@@ -16,16 +31,7 @@
 		clock := func() int64 { return int64(float64(time.Since(began).Milliseconds()) * (1 - clockDrift)) }
 		list := []work.Worker{{ID: "w1", Pool: "p", Machine: "m1", Incarnation: 1, Capacity: work.Need{CPU: 1}}}
 		sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 2}}}, list)
-		if _, err := sc.Submit(work.Job{ID: "00000000000000aa", Queue: "q", Accepted: time.Now().UnixMilli(),
-			Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 1}}}}); err != nil {
-			t.Fatal(err)
-		}
-		store(t, sc)
-		start, ok := sc.Commands()[0].(Start)
-		if !ok {
-			t.Fatal("no start")
-		}
-		sc.HandleOutcome(start, Applied, time.Now())
+		start := startTask(t, sc)
 		renewal, _, _ := sc.NextRenewal("w1")
 		renewal = sc.PrepareRenewal(renewal)
 		sc.HandleRenewalFailure(renewal, Replaced)
@@ -36,15 +42,8 @@
 		sc.HandleRenewal(Renewal{Worker: "w2"}, work.RenewalReply{Incarnation: 1, Clock: clock()}, time.Now())
 		store(t, sc)
 		again := starts(sc)
-		if o, _, ok := sc.NextRenewal("w1"); ok {
-			sc.HandleRenewal(o, work.RenewalReply{Incarnation: 1, Clock: clock(),
-				Ended: []work.End{{Number: 1, Run: start.Run, How: work.Done}}}, time.Now())
-		}
-		store(t, sc)
-		o, _, _ := sc.NextRenewal("w1")
-		if again > 0 && o.AckedEnd > 0 && clock() < renewal.LeaseEnd {
-			t.Errorf("the end is acknowledged at %d ms of the worker's clock, its lease lasts until %d, and the task has started again",
-				clock(), renewal.LeaseEnd)
+		if again > 0 {
+			checkEndIsNotAcknowledged(t, sc, start.Run, clock, renewal.LeaseEnd)
 		}
 	})
 }
@@ -69,15 +68,8 @@
 		sc.Tick()
 		time.Sleep(500 * time.Millisecond)
 		sc.SetWorkers(lists)
-		if o, _, ok := sc.NextRenewal("w1"); ok {
-			sc.HandleRenewal(o, work.RenewalReply{Incarnation: 1, Clock: clock(),
-				Ended: []work.End{{Number: 1, Run: run, How: work.Done}}}, time.Now())
-		}
-		store(t, sc)
-		o, _, _ := sc.NextRenewal("w1")
-		if again > 0 && o.AckedEnd > 0 && clock() < renewal.LeaseEnd {
-			t.Errorf("the end is acknowledged at %d ms of the worker's clock, its lease lasts until %d, and the task has started again",
-				clock(), renewal.LeaseEnd)
+		if again > 0 {
+			checkEndIsNotAcknowledged(t, sc, run, clock, renewal.LeaseEnd)
 		}
 	})
 }
--- a/internal/sched/engine/formeraddress_test.go
+++ b/internal/sched/engine/formeraddress_test.go
@@ -28,16 +28,7 @@
 		for _, w := range workers {
 			sc.HandleRenewal(Renewal{Worker: w.ID, Address: w.Address}, work.RenewalReply{Incarnation: 2}, time.Now())
 		}
-		if _, err := sc.Submit(work.Job{ID: "00000000000000aa", Queue: "q", Accepted: time.Now().UnixMilli(),
-			Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 1}}}}); err != nil {
-			t.Fatal(err)
-		}
-		store(t, sc)
-		start, ok := sc.Commands()[0].(Start)
-		if !ok {
-			t.Fatal("no start")
-		}
-		sc.HandleOutcome(start, Applied, time.Now())
+		start := startTask(t, sc)
 		sc.HandleRenewalFailure(renewals[start.Worker], Replaced)
 		sc.HandleOutcome(Stop{Worker: start.Worker, Address: renewals[start.Worker].Address, Run: start.Run}, Replaced, time.Now())
 		time.Sleep(100 * time.Millisecond)
--- a/internal/sched/engine/lateend_test.go
+++ b/internal/sched/engine/lateend_test.go
@@ -8,11 +8,9 @@
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 )
 
-// startedRun returns a scheduler with a run on worker w1 of machine m1, and nothing on w2.
-func startedRun(t *testing.T) (*Scheduler, work.RunKey) {
+// startTask submits a job of one task and returns the start of it, which was applied.
+func startTask(t *testing.T, sc *Scheduler) Start {
 	t.Helper()
-	sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 2}}},
-		[]work.Worker{{ID: "w1", Pool: "p", Machine: "m1", Incarnation: 1, Capacity: work.Need{CPU: 1}}})
 	if _, err := sc.Submit(work.Job{ID: "00000000000000aa", Queue: "q", Accepted: time.Now().UnixMilli(),
 		Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 1}}}}); err != nil {
 		t.Fatal(err)
@@ -23,6 +21,15 @@
 		t.Fatal("no start")
 	}
 	sc.HandleOutcome(start, Applied, time.Now())
+	return start
+}
+
+// startedRun returns a scheduler with a run on worker w1 of machine m1, and nothing on w2.
+func startedRun(t *testing.T) (*Scheduler, work.RunKey) {
+	t.Helper()
+	sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 2}}},
+		[]work.Worker{{ID: "w1", Pool: "p", Machine: "m1", Incarnation: 1, Capacity: work.Need{CPU: 1}}})
+	start := startTask(t, sc)
 	sc.SetWorkers([]work.Worker{
 		{ID: "w1", Pool: "p", Machine: "m1", Incarnation: 1, Capacity: work.Need{CPU: 1}},
 		{ID: "w2", Pool: "p", Machine: "m2", Incarnation: 1, Capacity: work.Need{CPU: 1}}})
