--- a/internal/serve/inlet/inlet.go
+++ b/internal/serve/inlet/inlet.go
@@ -1,5 +1,5 @@
 // Package inlet bounds what callers that the system does not control can make a process hold: connections, bytes that are
-// received and not read yet, and request bodies.
+// received and not read yet, request headers and bodies.
 //
 // A connection that waits for its caller (for a request, the rest of a header or of a body) is closed when another one needs
 // its place, the longest waiting first: an ordinary request arrives within milliseconds. One whose request has been received is
