--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -33,6 +33,8 @@
 		return zoneCase(trouble, r)
 	case "rounds":
 		return roundsCase(trouble, r)
+	case "ack":
+		return ackCase(trouble, r)
 	case "moved":
 		return movedCase(trouble, r)
 	case "late":
--- a/review/stand2/platform.go
+++ b/review/stand2/platform.go
@@ -25,10 +25,11 @@
 	}
 }
 
-// need is what a task reserves on its worker and how long it works; a task that lasts has no end.
+// need is what a task reserves on its worker and how long it works; a task that lasts has no end. A run works longer by up to
+// Spread.
 type need struct {
-	CPU, Memory int64
-	Work        time.Duration
+	CPU, Memory  int64
+	Work, Spread time.Duration
 }
 
 // execution is a run of a task on a worker, as the worker knows it.
@@ -49,6 +50,8 @@
 	workers []*worker
 	// intercept is asked about each order to start a task; it returns true to leave the order unanswered.
 	intercept func(w *worker, b orderBody, q *http.Request) bool
+	// holdBack is the same for calls of /hold.
+	holdBack func(w *worker, b orderBody) bool
 
 	mu         sync.Mutex
 	needs      map[string][]need
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -201,6 +202,9 @@
 		return
 	}
 	if q.URL.Path == "/hold" {
+		if w.platform.holdBack != nil && w.platform.holdBack(w, body) {
+			silent(q)
+		}
 		w.hold(rw, q, body)
 		return
 	}
@@ -275,12 +279,34 @@
 	r := &run{task: b.Task, number: b.Run, cpu: need.CPU, memory: need.Memory, startedAt: time.Now()}
 	if need.Work > 0 {
 		r.endsAt = r.startedAt.Add(need.Work)
+		if need.Spread > 0 {
+			r.endsAt = r.endsAt.Add(rand.N(need.Spread))
+		}
 	}
 	l.runs[b.Task] = r
 	w.platform.started(b.Task, b.Run, w.id)
 	return http.StatusOK, ""
 }
 
+// see carries out what a call of /hold asks for, and returns how many ends the worker forgets; mu must be held.
+func (w *worker) see(l *life, b orderBody) (forgotten int) {
+	if l == nil || b.Fence < l.fence {
+		return 0
+	}
+	l.fence = b.Fence
+	if b.Until > 0 {
+		l.extend(b.Until)
+	}
+	for _, e := range l.ended {
+		if e.number <= b.LastSeen {
+			w.platform.noted(e.task, e.run, w.id)
+			forgotten++
+		}
+	}
+	l.ended = slices.DeleteFunc(l.ended, func(e end) bool { return e.number <= b.LastSeen })
+	return forgotten
+}
+
 // hold extends the lease and answers with the lists of runs, after a wait for an end.
 func (w *worker) hold(rw http.ResponseWriter, q *http.Request, b orderBody) {
 	w.mu.Lock()
@@ -295,16 +321,7 @@
 		answer(rw, http.StatusConflict, map[string]any{"clockMs": clock, "born": l.born.UnixMilli(), "reason": "fence"})
 		return
 	}
-	l.fence = b.Fence
-	if b.Until > 0 {
-		l.extend(b.Until)
-	}
-	for _, e := range l.ended {
-		if e.number <= b.LastSeen {
-			w.platform.noted(e.task, e.run, w.id)
-		}
-	}
-	l.ended = slices.DeleteFunc(l.ended, func(e end) bool { return e.number <= b.LastSeen })
+	w.see(l, b)
 	changed := l.changed
 	wait := b.WaitMS > 0 && len(l.ended) == 0
 	w.mu.Unlock()
