engine: Workers that are down are no evidence against a task

The workers of one zone go down for 4.5 s, and a job whose task ran there is shown as failed, although no run of it has ended so.

Cause: a worker without runs gets no calls, so that the task was started on one worker that was down after the other. Each start without a reply counted as a crash by the task, and crashes that were known to be part of the loss of a zone counted towards the limit of four as well.

TestStartsOnSilentWorkers failed before: "the job is running after 4 starts on workers that are down"; testdata/masscrashes failed before: after the fourth loss of its zone the task was not started any more.

Why it works: crashes of mass events count towards no limit. A suspect starts only on a worker that has replied within 250 ms; others are sent a renewal that changes nothing first, so that a crash after its start is evidence, and a task that does crash its workers meets the limits it met before.

--- a/internal/sched/engine/crash.go
+++ b/internal/sched/engine/crash.go
@@ -13,8 +13,8 @@
 	// crashWindow is how long a run must be known to be active before a crash of its worker is no longer ascribed to it.
 	crashWindow = 200 * time.Millisecond
 	// crashLimit is the number of crashes after a confirmed start after which a job is given up if the task was the only
-	// candidate in one of them; crashMaximum is the number of all crashes after which it is given up in any case. They
-	// leave room below the platform's limit for crashes that a change of leadership hides.
+	// candidate in one of them; crashMaximum is the number of crashes after which it is given up in any case. They leave room
+	// below the platform's limit for crashes that a change of leadership hides. Those of mass events count towards neither.
 	crashLimit   = 2
 	crashMaximum = 4
 )
@@ -72,7 +72,7 @@
 		return false
 	}
 	sole := slices.ContainsFunc(p.crashes, func(c taskCrash) bool { return c.sole && c.started && !c.event.mass })
-	return sole && p.certain() >= crashLimit || p.restored+len(p.crashes) >= crashMaximum
+	return sole && p.certain() >= crashLimit || p.count() >= crashMaximum
 }
 
 // suspect returns the task that holds the suspicion of a task: the first one for the whole gang.
--- a/internal/sched/engine/isolation.go
+++ b/internal/sched/engine/isolation.go
@@ -10,7 +10,8 @@
 
 // A task suspected of crashing its worker starts only on a worker where every other run is known to have been active
 // for crashWindow, and nothing else starts there until the same is known of it. If the worker crashes in that time,
-// there is no other candidate.
+// there is no other candidate. The worker must have replied shortly before: a start without a reply on a worker that was
+// down already is evidence of nothing.
 
 const (
 	// isolationWait is how long a suspect waits at most for such a worker.
@@ -19,6 +20,10 @@
 	// heldFraction workers is held, and at least one.
 	holdTime     = time.Second
 	heldFraction = 4
+	// suspectReplyAge is how old the last reply of a worker may be on which a suspect starts.
+	suspectReplyAge = 250 * time.Millisecond
+	// maxProbes bounds the workers that are probed at a time for one suspect.
+	maxProbes = 8
 )
 
 // isIsolated reports whether a suspect has started on a worker and may still crash it.
@@ -74,19 +79,41 @@
 	switch {
 	case t.suspicion.exceeded():
 		return nil
-	case t.suspicion.count() == 0 || t.suspicion.hasWaited(now):
+	case t.suspicion.count() == 0:
 		return sc.chooseWorker(s, workers)
+	case t.suspicion.hasWaited(now):
+		fitting := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !sc.fits(s, w) })
+		return sc.chooseWorker(s, sc.probed(fitting, now))
 	}
 	fitting := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
 		return w.cordoned || w.isIsolated() || !sc.hasRoom(s, w) || !w.isSettled()
 	})
 	if len(fitting) > 0 {
+		if fitting = sc.probed(fitting, now); len(fitting) == 0 {
+			return nil
+		}
 		return slices.MinFunc(fitting, compareByRuns)
 	}
 	sc.holdWorker(s, workers, now)
 	return nil
 }
 
+// probed returns those of some workers that have replied within suspectReplyAge, and has others probed if there are none.
+func (sc *Scheduler) probed(workers []*worker, now time.Time) []*worker {
+	recent := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return now.Sub(w.clockReadAt) > suspectReplyAge })
+	if len(recent) > 0 {
+		return recent
+	}
+	slices.SortFunc(workers, compareByRuns)
+	for _, w := range workers[:min(len(workers), maxProbes)] {
+		if !w.probeWanted {
+			w.probeWanted = true
+			sc.touch(w)
+		}
+	}
+	return nil
+}
+
 // compareByRuns orders workers by their number of runs, so that a crash ends few.
 func compareByRuns(x, y *worker) int {
 	return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), cmp.Compare(x.ID, y.ID))
@@ -140,8 +167,10 @@
 	switch {
 	case t.suspicion.exceeded():
 		return nil
-	case t.suspicion.count() == 0 || t.suspicion.hasWaited(now):
+	case t.suspicion.count() == 0:
 		return workers
+	case t.suspicion.hasWaited(now):
+		return sc.probed(slices.Clone(workers), now)
 	}
-	return slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !w.isSettled() })
+	return sc.probed(slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !w.isSettled() }), now)
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -92,10 +92,13 @@
 		o.AckedEnd = w.ackDelivered
 		return o, unresponsiveBackoff, true
 	}
-	if len(w.runs) == 0 {
+	if len(w.runs) == 0 && !w.probeWanted {
 		// Only the acknowledgment of the last ends is still to be delivered.
 		return o, 0, w.ackedEnd > 0 && w.ackedEnd == w.handledEnd && w.ackedEnd > w.ackDelivered
 	}
+	if len(w.runs) == 0 {
+		return o, 0, true
+	}
 	o.ExtendLease = true
 	if w.handledEnd > w.ackedEnd {
 		return o, commitWait, true
@@ -202,7 +205,7 @@
 	w.clock, w.clockReadAt = reply.Clock, time.Now()
 	w.unresponsiveSince, w.doubtedSince = time.Time{}, time.Time{}
 	w.failures = 0
-	w.silent = false
+	w.silent, w.probeWanted = false, false
 	if o.Incarnation == w.Incarnation {
 		w.ackDelivered = max(w.ackDelivered, o.AckedEnd)
 	}
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -87,6 +87,8 @@
 	longRunningCPU  int64
 	// interferingRuns counts the best-effort runs and those with a latency objective.
 	interferingRuns int
+	// probeWanted means that a suspect waits for a reply of the worker.
+	probeWanted bool
 	// touched means that the worker is in the scheduler's list of touched ones.
 	touched bool
 }
@@ -330,6 +332,7 @@
 // markUnresponsive records that a worker did not reply.
 func (sc *Scheduler) markUnresponsive(w *worker) {
 	w.failures++
+	w.probeWanted = false
 	sc.touch(w)
 	if w.unresponsiveSince.IsZero() {
 		w.unresponsiveSince = time.Now()
