--- a/internal/lab/fakes/workers.go
+++ b/internal/lab/fakes/workers.go
@@ -240,15 +240,11 @@
 	defer w.mu.Unlock()
 	if w.random.Float64() < w.Faults.NoReplyRate {
 		if w.random.IntN(2) == 0 {
-			id := workerID(c)
-			receiver := w.byID[id]
 			time.AfterFunc(time.Duration(w.random.Int64N(int64(w.Faults.MaxDelay))), func() {
 				w.mu.Lock()
 				defer w.mu.Unlock()
-				// A delayed command is lost if the worker has restarted in the meantime.
-				if w.byID[id] == receiver {
-					w.execute(c, fence)
-				}
+				// The worker may have restarted in the meantime.
+				w.execute(c, fence)
 			})
 		}
 		return engine.NoReply
--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -24,6 +24,8 @@
 	Checkpoint string
 	// Ticket is "" if the job's queue needs none.
 	Ticket string
+	// Fence is the fencing token for the incarnation that the command is meant for.
+	Fence int64
 }
 
 // Stop tells a worker to end a run, and never to start it if it has not started yet.
@@ -31,6 +33,7 @@
 	Worker  work.WorkerID
 	Address string
 	Run     work.RunKey
+	Fence   int64
 }
 
 // Throttle tells a worker to limit a run to a percentage of its full speed; 0 suspends it.
@@ -39,6 +42,7 @@
 	Address string
 	Run     work.RunKey
 	Percent int
+	Fence   int64
 }
 
 func (Start) isCommand()    {}
@@ -64,7 +68,7 @@
 	Outdated
 	// LeaseExpired: the lease sent with the command had expired on arrival.
 	LeaseExpired
-	// Fenced: the worker has received a command of a newer leader.
+	// Fenced: the worker has received a command with a higher fencing token, of a newer leader or of this one.
 	Fenced
 	// Replaced: another worker answers at this address.
 	Replaced
@@ -88,6 +92,8 @@
 	// NoReplyAgain: neither copy of a start has a conclusive reply. RelayNoReplyAgain is the same for copies of a relay.
 	NoReplyAgain
 	RelayNoReplyAgain
+	// FencedAgain: of two copies of a start one was declined as Fenced; the other one may have been executed before.
+	FencedAgain
 )
 
 // Relayed returns the outcome as the leader sees it if a relay had it.
@@ -107,16 +113,25 @@
 // outcomeNames are the names of the outcomes in logs and in a label of the metrics.
 var outcomeNames = [...]string{"carried out", "not sent", "no reply", "unhealthy", "full", "outdated", "overdue",
 	"fenced", "replaced", "no ticket", "invalid", "withheld", "relay lost", "not sent by relay", "no reply to relay",
-	"carried out at the second copy", "second copy declined", "no reply to two copies", "no reply to two copies of relay"}
+	"carried out at the second copy", "second copy declined", "no reply to two copies", "no reply to two copies of relay",
+	"one of two copies fenced"}
 
 // OutcomeCount is the number of outcomes.
 const OutcomeCount = len(outcomeNames)
 
 // ofTwoCopies reports whether two copies of a start were sent.
 func (o Outcome) ofTwoCopies() bool {
-	return o == AppliedAgain || o == DeclinedAgain || o == NoReplyAgain || o == RelayNoReplyAgain
+	switch o {
+	case AppliedAgain, DeclinedAgain, NoReplyAgain, RelayNoReplyAgain, FencedAgain:
+		return true
+	default:
+		return false
+	}
 }
 
+// IsFenced reports whether the worker has declined a copy because it has seen a higher fencing token.
+func (o Outcome) IsFenced() bool { return o == Fenced || o == FencedAgain }
+
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
 
@@ -136,7 +151,7 @@
 		sc.pending.handleOutcome(c.Run, result, sent, time.Now())
 		sc.handleStartOutcome(c, result)
 	case Stop:
-		sc.handleStopOutcome(c, result, sent)
+		sc.handleStopOutcome(c, result)
 	case Throttle:
 		sc.handleThrottleOutcome(c, result)
 	}
@@ -154,6 +169,12 @@
 	// A list may have shown the run before, which says nothing of the other copy.
 	r.repeated = r.repeated || result.ofTwoCopies()
 	r.copiesUnknown = result == RelayLost
+	if r.lingers {
+		if !r.repeated && result.rulesOutStart() {
+			sc.releaseLingering(r, "its start was "+result.String())
+		}
+		return
+	}
 	if r.phase != startSent {
 		return
 	}
@@ -189,7 +210,7 @@
 		w.backoffUntil = now.Add(unhealthyBackoff)
 		sc.releaseRun(r)
 	case Replaced:
-		sc.markCrashed(w, "another worker answers at its address")
+		sc.markCrashed(w, endReplaced)
 	case Full:
 		w.backoffUntil = now.Add(fullBackoff)
 		sc.releaseRun(r)
@@ -209,7 +230,17 @@
 	}
 }
 
-func (sc *Scheduler) handleStopOutcome(c Stop, result Outcome, sent time.Time) {
+// rulesOutStart reports whether the outcome of the only copy of a start says that it was not executed and never will be.
+func (o Outcome) rulesOutStart() bool {
+	switch o {
+	case NotSent, RelayNotSent, Withheld, Unhealthy, Full, Outdated, LeaseExpired, Fenced, TicketRequired, Invalid:
+		return true
+	default:
+		return false
+	}
+}
+
+func (sc *Scheduler) handleStopOutcome(c Stop, result Outcome) {
 	w := sc.workers[c.Worker]
 	if w == nil {
 		return
@@ -221,11 +252,11 @@
 	switch w.outcomeAt(c.Address, result) {
 	case Applied:
 		// A stop that a former incarnation executed rules nothing out in this one.
-		if !r.stopSentAt.IsZero() && !sent.Before(w.restartedAt) {
+		if !r.stopSentAt.IsZero() && c.Fence == sc.fence(w) {
 			r.stopAppliedAt = time.Now()
 		}
 	case Replaced:
-		sc.markCrashed(w, "another worker answers at its address")
+		sc.markCrashed(w, endReplaced)
 	case NotSent, NoReply:
 		sc.markUnresponsive(w)
 	case RelayNotSent, RelayNoReply:
@@ -271,11 +302,12 @@
 	for _, r := range sc.stopping {
 		// A run whose start reply is outstanding is stopped after the reply, so that the stop can't overtake the start
 		// unnoticed.
-		if r.phase == startSent || !r.stopAppliedAt.IsZero() || now.Sub(r.stopSentAt) < stopRetryInterval {
+		if r.phase == startSent || r.lingers || !r.stopAppliedAt.IsZero() || now.Sub(r.stopSentAt) < stopRetryInterval {
 			continue
 		}
 		r.stopSentAt = now
-		commands = append(commands, Stop{Worker: r.worker.ID, Address: r.worker.Address, Run: r.key})
+		r.worker.fenceUsed = true
+		commands = append(commands, Stop{Worker: r.worker.ID, Address: r.worker.Address, Run: r.key, Fence: sc.fence(r.worker)})
 	}
 	return commands
 }
--- a/internal/sched/engine/crash.go
+++ b/internal/sched/engine/crash.go
@@ -94,8 +94,8 @@
 }
 
 // markCrashed records that a worker has ended without an operation of this system.
-func (sc *Scheduler) markCrashed(w *worker, reason string) {
-	sc.markEnded(w, reason)
+func (sc *Scheduler) markCrashed(w *worker, end workerEnd) {
+	sc.markEnded(w, end)
 	sc.recordCrash(w)
 }
 
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -3,7 +3,8 @@
 //
 // Its commands may get lost, be executed late or be executed twice. A task counts as running on a worker from the
 // moment its start is issued until that is ruled out: the start was not sent or was declined, the worker lists the run
-// as ended or lists it no more after a confirmed stop, the worker has restarted or ended, or its lease has expired.
+// as ended or lists it no more after a confirmed stop, the worker has restarted or ended, or its lease has expired. A start
+// that may be executed by a later incarnation of its worker counts until that declines it or it is too old.
 package engine
 
 import (
@@ -39,6 +40,9 @@
 // clockDrift is the fraction by which a worker's clock may run slower than the local one, as the platform guarantees.
 const clockDrift = 0.02
 
+// formerCallTime is how long a call takes at most that a former leader or one of its relays still sends.
+const formerCallTime = 1500 * time.Millisecond
+
 // leaseMargin covers the rounding of the worker's clock to milliseconds and the time a worker needs to end a run.
 const leaseMargin = 250 * time.Millisecond
 
@@ -47,6 +51,13 @@
 	return time.Duration(float64(o.Lease)/(1-clockDrift)) + leaseMargin
 }
 
+// maxLeaseTime returns the same for the longest lease that a worker may have granted, whatever it was asked for: the end of a
+// lease that was meant for a former incarnation lies far ahead on the clock of the next one.
+func (o Options) maxLeaseTime() time.Duration {
+	o.Lease = max(o.Lease, o.MaxLease)
+	return o.leaseTime()
+}
+
 // runsPerTerm is how far apart the run numbers of two successive terms begin, so that they rise although starts are not
 // stored.
 const runsPerTerm = 1000
@@ -82,6 +93,11 @@
 	inherited map[work.WorkerID]*worker
 	// inheritedUntil is when every lease that a former leader sent has certainly expired.
 	inheritedUntil time.Time
+	// formerCallsEnd is when the former leader and its relays have certainly ended their calls to workers.
+	formerCallsEnd time.Time
+	// fences are the fencing tokens of the term; awaitingFence are the workers that get no calls until there is another one.
+	fences        fences
+	awaitingFence []*worker
 	// confirmedAt is the latest time until which no later leader is known to have existed.
 	confirmedAt time.Time
 	// dirtyWorkers are the workers whose record in the store is to be written or deleted.
--- a/internal/sched/engine/giveup.go
+++ b/internal/sched/engine/giveup.go
@@ -23,11 +23,18 @@
 }
 
 // giveUpRuns releases the runs of a worker although their ends are not known. The worker remembers them, so that the
-// log can tell what had become of them if it replies again.
-func (sc *Scheduler) giveUpRuns(w *worker, reason string) {
+// log can tell what had become of them if it replies again. Those whose start a later incarnation may execute linger.
+func (sc *Scheduler) giveUpRuns(w *worker, end workerEnd) {
+	now := time.Now()
 	for _, r := range w.runs {
-		sc.rememberGivenUp(r, reason)
-		sc.releaseRun(r)
+		if !r.lingers {
+			sc.rememberGivenUp(r, end.reason)
+		}
+		if end.replaced || !r.lingers && !sc.mayLinger(r, end.noneAt, now) {
+			sc.releaseRun(r)
+		} else {
+			r.linger(now)
+		}
 	}
 }
 
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -147,6 +147,11 @@
 	// repeated means that the start was sent more than once, copiesUnknown that it may have been: its outcome is outstanding or
 	// was lost with its relay.
 	repeated, copiesUnknown bool
+	// fence is the fencing token of the last copy of the start, or of the last renewal that listed the run.
+	fence int64
+	// lingers means that the run was given up although a copy of its start may still be executed, until lingersUntil at most.
+	lingers      bool
+	lingersUntil time.Time
 	// finiteIndex is the run's place among the finite runs of its worker.
 	finiteIndex int
 	// need is what the run reserves on its worker, charge what it uses of its customer's cap.
--- a/internal/sched/engine/lateack_test.go
+++ b/internal/sched/engine/lateack_test.go
@@ -16,6 +16,7 @@
 			return []work.Worker{{ID: "w1", Pool: "p", Incarnation: incarnation, Capacity: work.Need{CPU: 1}}}
 		}
 		sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 2}}}, list(1))
+		sc.ConfirmFences(0, 9)
 		submit := func(id work.JobID) {
 			if _, err := sc.Submit(work.Job{ID: id, Queue: "q", Accepted: time.Now().UnixMilli(),
 				Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 1}}}}); err != nil {
@@ -37,8 +38,11 @@
 		if late.AckedEnd != 1 {
 			t.Fatalf("the renewal acknowledges %d", late.AckedEnd)
 		}
+		late = sc.PrepareRenewal(late)
 		sent := time.Now()
 		sc.HandleRenewalFailure(late, NoReply)
+		// highest is the highest fencing token that the new incarnation has seen.
+		var highest int64
 
 		submit("00000000000000a2")
 		sc.SetWorkers(list(2))
@@ -49,6 +53,7 @@
 			time.Sleep(100 * time.Millisecond)
 			if o, _, ok := sc.NextRenewal("w1"); ok {
 				o = sc.PrepareRenewal(o)
+				highest = max(highest, o.Fence)
 				if len(ended) > 0 && ended[0].Number <= o.AckedEnd {
 					ended = nil
 				}
@@ -69,7 +74,7 @@
 			if len(active) > 0 && !done && time.Since(sent) > time.Second {
 				ended = []work.End{{Number: 1, Run: active[0].Run, How: work.Done}}
 				active, done = nil, true
-				if time.Since(sent) < lateCommandTime {
+				if time.Since(sent) < lateCommandTime && late.Fence >= highest {
 					ended = nil // the late renewal acknowledges it
 				}
 			}
@@ -86,6 +91,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 2}}},
 			[]work.Worker{{ID: "w1", Pool: "p", Incarnation: 1, Capacity: work.Need{CPU: 1}}})
+		sc.ConfirmFences(0, 9)
 		start := func(id work.JobID) Start {
 			if _, err := sc.Submit(work.Job{ID: id, Queue: "q", Accepted: time.Now().UnixMilli(),
 				Steps: []work.Step{{Count: 1, Need: work.Need{CPU: 1}}}}); err != nil {
--- a/internal/sched/engine/latency.go
+++ b/internal/sched/engine/latency.go
@@ -67,7 +67,8 @@
 			}
 			if r.throttle != want || r.throttleUnknown {
 				r.throttlePending = true
-				commands = append(commands, Throttle{Worker: w.ID, Address: w.Address, Run: r.key, Percent: want})
+				commands = append(commands, Throttle{Worker: w.ID, Address: w.Address, Run: r.key, Percent: want, Fence: sc.fence(w)})
+				w.fenceUsed = true
 			}
 		}
 	}
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -450,8 +450,9 @@
 	r := &run{
 		key: work.RunKey{Task: s.task(index), Number: number}, stepState: s, worker: w, phase: startSent,
 		need: s.need, charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100,
-		lateStart: w.cordoned, copiesUnknown: true,
+		lateStart: w.cordoned, copiesUnknown: true, fence: sc.fence(w),
 	}
+	w.fenceUsed = true
 	t.runs = append(t.runs, r)
 	sc.pending.issued[r.key] = now
 	if len(w.runs) == 0 {
@@ -470,6 +471,6 @@
 		zap.String("worker", string(w.ID)), zap.Int64("config", sc.config.Version), zap.Int64("free", w.free().CPU),
 		zap.Duration("seen", now.Sub(w.clockReadAt)), zap.Duration("slack", s.job.deadline.Sub(now)))
 	ticket, _ := s.ticket(w.ID, now)
-	return Start{Ticket: ticket.Text, Worker: w.ID, Address: w.Address, Run: r.key, Spec: s.job.Spec,
+	return Start{Ticket: ticket.Text, Worker: w.ID, Address: w.Address, Run: r.key, Spec: s.job.Spec, Fence: r.fence,
 		LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: s.checkpointed(index).checkpoint}
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -58,16 +58,18 @@
 	Patient bool
 	// Direct renewals are sent by this process even if the worker has a relay.
 	Direct bool
+	// Fence is the fencing token for the incarnation that the renewal is meant for.
+	Fence int64
 }
 
 // NextRenewal returns the next renewal of a worker and how long after the end of the previous one it is due, or false
 // if none is needed.
 func (sc *Scheduler) NextRenewal(id work.WorkerID) (Renewal, time.Duration, bool) {
 	w, ok := sc.workers[id]
-	if !ok || w.ended {
+	if !ok || w.ended || !sc.hasFence(w) {
 		return Renewal{}, 0, false
 	}
-	o := Renewal{Worker: id, Address: w.Address, Incarnation: w.Incarnation}
+	o := Renewal{Worker: id, Address: w.Address, Incarnation: w.Incarnation, Fence: sc.fence(w)}
 	if w.responsive() && w.confirmed {
 		// Ends are numbered anew after a restart, and a worker that does not reply may have restarted under its id.
 		o.AckedEnd = w.ackedEnd
@@ -86,7 +88,7 @@
 		return o, 0, true
 	}
 	if !w.confirmed {
-		return o, 0, w.listed || sc.inherited[id] != nil
+		return o, 0, w.listed || sc.inherited[id] != nil || len(w.runs) > 0
 	}
 	if w.holdsReleasedLease() {
 		o.AckedEnd = w.ackDelivered
@@ -144,9 +146,13 @@
 
 // PrepareRenewal sets the lease expiry of a renewal that is about to be sent, if it extends the lease.
 func (sc *Scheduler) PrepareRenewal(o Renewal) Renewal {
-	if w, ok := sc.workers[o.Worker]; ok && o.ExtendLease {
+	w, ok := sc.workers[o.Worker]
+	if ok && o.ExtendLease {
 		o.LeaseEnd = w.extendLease(sc.options.Lease)
 	}
+	if ok && (o.ExtendLease || o.AckedEnd > 0) {
+		w.fenceUsed = true
+	}
 	return o
 }
 
@@ -166,7 +172,7 @@
 	}
 	switch w.outcomeAt(o.Address, result) {
 	case Replaced:
-		sc.markCrashed(w, "another worker answers at its address")
+		sc.markCrashed(w, endReplaced)
 		return
 	case RelayLost, Withheld:
 		return
@@ -206,13 +212,19 @@
 	w.unresponsiveSince, w.doubtedSince = time.Time{}, time.Time{}
 	w.failures = 0
 	w.silent, w.probeWanted = false, false
+	if o.Fence < sc.fence(w) {
+		// Sent before the restart was known: later calls of that time may still be executed, and the lists are those of now.
+		sc.handleLateEnds(w, reply.Ended)
+		sc.touch(w)
+		return
+	}
 	if o.Incarnation == w.Incarnation {
 		w.ackDelivered = max(w.ackDelivered, o.AckedEnd)
 	}
 	first := !w.confirmed
 	w.confirmed = true
 	sc.handleEnds(w, reply.Ended)
-	sc.reconcileRuns(w, reply, sent)
+	sc.reconcileRuns(w, o, reply, sent)
 	w.givenUp = nil
 	if first {
 		sc.log.Info("engine: run lists of worker confirmed", zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)),
@@ -220,6 +232,13 @@
 		if sc.inherited[w.ID] != nil {
 			w.formerLeasesEnd = sc.inheritedUntil
 		}
+		if w.restarted {
+			// Calls to the former incarnation may have extended the leases of this one.
+			w.restarted = false
+			if end := time.Now().Add(sc.options.maxLeaseTime()); end.After(w.formerLeasesEnd) {
+				w.formerLeasesEnd = end
+			}
+		}
 		delete(sc.inherited, w.ID)
 		if !w.inUse {
 			w.inUse = true
@@ -230,7 +249,7 @@
 
 // reconcileRuns updates the scheduler's runs on a worker from the worker's list of active runs. A run that is not listed
 // may have ended unless the list of ends is complete.
-func (sc *Scheduler) reconcileRuns(w *worker, reply work.RenewalReply, sent time.Time) {
+func (sc *Scheduler) reconcileRuns(w *worker, o Renewal, reply work.RenewalReply, sent time.Time) {
 	present := make(map[work.RunKey]bool, len(reply.Active))
 	for _, a := range reply.Active {
 		present[a.Run] = true
@@ -242,6 +261,7 @@
 			r.phase = active
 			r.phaseSince = time.Now()
 		}
+		r.fence, r.lingers = o.Fence, false
 		sc.keepStartedRun(r)
 		r.listedAt = sent
 		r.checkpoint = a.Checkpoint
@@ -257,6 +277,11 @@
 			// The reply may be older than the start of a run that it does not list.
 			continue
 		}
+		if r.fence < o.Fence {
+			sc.releaseLingering(r, "declined by a new incarnation")
+			continue
+		}
+		r.lingers = false
 		switch {
 		case r.stopRequested && !r.stopAppliedAt.IsZero() && r.stopAppliedAt.Before(sent):
 			sc.releaseRun(r)
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -45,6 +45,7 @@
 func (s *script) takeOver() {
 	s.term++
 	s.scheduler = New(DefaultOptions(), s.term, nil)
+	s.scheduler.ConfirmFences(100*s.term, 100*s.term+99)
 	var items []table.Item
 	for _, k := range slices.Sorted(maps.Keys(s.store)) {
 		items = append(items, table.Item{Key: k, Value: s.store[k]})
@@ -61,7 +62,7 @@
 // as applied, "settle" reports the outcome of one, sent a time "ago"; "next" prepares a renewal, "look" and "unanswered" deliver a reply
 // to it, with "born" one of that incarnation, or none, "advise" replies to the last ticket request; "ready" lets every
 // worker report empty run lists and commits a batch; "confirmed" confirms leadership as of now, before the first of them
-// leases expire unconditionally; "hold" cordons a worker, "close" closes it, "due" names the workers to be maintained soon, "out" evacuates a zone.
+// leases expire unconditionally; "machines" delivers a list of machines, "NAME worker=ID" on each line; "hold" cordons a worker, "close" closes it, "due" names the workers to be maintained soon, "out" evacuates a zone.
 func (s *script) run(d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "config":
@@ -74,7 +75,8 @@
 		s.scheduler.SetWorkers(s.workers)
 	case "ready":
 		for _, w := range s.workers {
-			s.scheduler.HandleRenewal(Renewal{Worker: w.ID}, work.RenewalReply{Incarnation: w.Incarnation}, time.Now())
+			s.scheduler.HandleRenewal(Renewal{Worker: w.ID, Fence: s.fence(w.ID)}, work.RenewalReply{Incarnation: w.Incarnation},
+				time.Now())
 		}
 		s.commit()
 	case "submit":
@@ -130,6 +132,13 @@
 		s.scheduler.Close(work.WorkerID(d.CmdArgs[0].Key), !d.HasArg("off"))
 	case "out":
 		s.scheduler.Evacuate(map[string]bool{d.CmdArgs[0].Key: true})
+	case "machines":
+		machines := map[string]Machine{}
+		for _, l := range lines(d) {
+			name, m := fields(l)
+			machines[name] = Machine{Worker: work.WorkerID(m["worker"]), Up: m["worker"] != ""}
+		}
+		s.scheduler.Reconcile(machines, time.Now())
 	case "ended":
 		s.scheduler.MarkWorkerEnded(work.WorkerID(d.CmdArgs[0].Key))
 	case "confirmed":
@@ -211,7 +220,7 @@
 	name, m := fields(line)
 	_, leaving := m["leaving"]
 	w := work.Worker{ID: work.WorkerID(name), Pool: m["pool"], Address: name + ":1", Zone: m["zone"], Capacity: s.need(m),
-		Leaving: leaving, DrainTime: s.duration(m["left"]), Incarnation: 1}
+		Leaving: leaving, DrainTime: s.duration(m["left"]), Incarnation: 1, Machine: m["machine"]}
 	if m["born"] != "" {
 		w.Incarnation = s.number(m["born"])
 	}
@@ -380,7 +389,8 @@
 
 // handleRenewal delivers a worker's reply to a renewal. The input has a line for each run: "run TASK number=N percent=N
 // level=N saved=TEXT" for an active one, "end TASK number=N at=N how=WORD saved=TEXT" for an ended one; the argument
-// "truncated" means that the worker has more ends.
+// "truncated" means that the worker has more ends. A reply that shows a restart is followed by the same reply to the next
+// renewal, which has a higher fencing token, unless "once" is given.
 func (s *script) handleRenewal(d *datadriven.TestData) {
 	id := work.WorkerID(d.CmdArgs[0].Key)
 	reply := work.RenewalReply{Incarnation: 1, Clock: time.Now().UnixMilli(), Truncated: d.HasArg("truncated")}
@@ -410,8 +420,27 @@
 			Checkpoint: m["saved"]})
 	}
 	time.Sleep(time.Millisecond)
-	o := Renewal{Worker: id, AckedEnd: s.renewals[id].AckedEnd, Incarnation: s.renewals[id].Incarnation}
+	o := Renewal{Worker: id, AckedEnd: s.renewals[id].AckedEnd, Incarnation: s.renewals[id].Incarnation, Fence: s.fence(id)}
+	if r, ok := s.renewals[id]; ok && r.Fence > 0 {
+		o.Fence = r.Fence
+		r.Fence = 0
+		s.renewals[id] = r
+	}
 	s.scheduler.HandleRenewal(o, reply, time.Now())
+	if fence := s.fence(id); fence > o.Fence && !d.HasArg("once") {
+		o.Fence = fence
+		time.Sleep(time.Millisecond)
+		s.scheduler.HandleRenewal(o, reply, time.Now())
+	}
+}
+
+// fence returns the fencing token of a renewal that is sent now.
+func (s *script) fence(id work.WorkerID) int64 {
+	w, ok := s.scheduler.workers[id]
+	if !ok {
+		return 0
+	}
+	return s.scheduler.fence(w)
 }
 
 // wait lets time pass and calls Tick ten times a second, as in production.
--- a/internal/sched/engine/unknown.go
+++ b/internal/sched/engine/unknown.go
@@ -9,8 +9,9 @@
 // reasonStartUnknown is the reason of stops that rule out a start of unknown outcome.
 const reasonStartUnknown = "start outcome unknown"
 
-// lateCommandTime is how long after its sending a worker may execute a command whose reply is missing.
-const lateCommandTime = 10 * time.Second
+// lateCommandTime is how long after its planning a worker may execute a command whose reply is missing: 12 s after its sending,
+// which a relay and a second copy may delay by 2 s.
+const lateCommandTime = 14 * time.Second
 
 // A start of unknown outcome is repeated: the worker confirms it if the run is there or begins it now, and declines it
 // as outdated if the run has ended. A stop in its place may end the run long after the start was executed late. Starts
@@ -42,10 +43,11 @@
 		sc.log.Info("engine: repeating start of unknown outcome", zap.Stringer("task", r.key.Task),
 			zap.Int64("run", r.key.Number), zap.String("worker", string(w.ID)), zap.Duration("unknown", now.Sub(r.phaseSince)))
 		r.phase, r.phaseSince, r.startedAt, r.repeated = startSent, now, now, true
+		r.fence, w.fenceUsed = sc.fence(w), true
 		s := r.stepState
 		ticket, _ := s.ticket(w.ID, now)
 		commands = append(commands, Start{Ticket: ticket.Text, Worker: w.ID, Address: w.Address, Run: r.key,
-			Spec: s.job.Spec, LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: s.checkpointed(r.key.Task.Index).checkpoint})
+			Spec: s.job.Spec, Fence: r.fence, LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: s.checkpointed(r.key.Task.Index).checkpoint})
 	}
 	sc.repeats = nil
 	return commands
@@ -88,8 +90,8 @@
 		sc.requestStop(r, reasonStartUnknown)
 		r.stopAppliedAt = now
 	case Replaced:
-		sc.markEnded(w, "another worker answers at its address")
-	case Fenced:
+		sc.markEnded(w, endReplaced)
+	case Fenced, FencedAgain:
 		// Leadership is lost: the new leader decides what happens to the run.
 	case Unhealthy:
 		w.backoffUntil = now.Add(unhealthyBackoff)
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -40,10 +40,12 @@
 	releasedLease int64
 	// formerLeasesEnd is when the leases of a former leader have certainly expired; zero if there are none.
 	formerLeasesEnd time.Time
-	// restartedAt is when the last restart of the worker became known; zero if none did.
-	restartedAt time.Time
-	// lateStartsUntil is until when runs may exist whose start was meant for a former incarnation; zero if there are none.
-	lateStartsUntil time.Time
+	// fenceRaise is by how much the fencing token for the present incarnation is above the first one of the term, fenceUsed
+	// that calls were sent with it that a later incarnation must not execute.
+	fenceRaise int64
+	fenceUsed  bool
+	// restarted means that the worker has restarted and not reported its run lists since.
+	restarted bool
 	// The worker numbers the ends of its runs. handledEnd is the number of the last end handled, ackedEnd that of the
 	// last one whose result is stored.
 	handledEnd, ackedEnd int64
@@ -219,21 +221,6 @@
 // ended by mistake.
 const endedTTL = 6 * time.Second
 
-// markEnded releases the runs of a worker that has certainly ended, for a reason that the log names.
-func (sc *Scheduler) markEnded(w *worker, reason string) {
-	if w.ended {
-		return
-	}
-	sc.log.Info("engine: worker ended; releasing its runs", zap.String("worker", string(w.ID)),
-		zap.String("why", reason), zap.Int("runs", len(w.runs)))
-	sc.giveUpRuns(w, reason)
-	w.releasedLease = w.lastLeaseEnd
-	w.ended = true
-	w.endedAt = time.Now()
-	sc.clearInUse(w)
-	delete(sc.inherited, w.ID)
-}
-
 // Workers returns the workers that may get orders.
 func (sc *Scheduler) Workers() []work.Worker {
 	list := make([]work.Worker, 0, len(sc.workers))
@@ -248,56 +235,6 @@
 // Tracks reports whether the scheduler still keeps a worker's state.
 func (sc *Scheduler) Tracks(id work.WorkerID) bool { return sc.workers[id] != nil }
 
-// MarkWorkerEnded records that the platform has taken a worker's machine away, which ends all runs on it.
-func (sc *Scheduler) MarkWorkerEnded(id work.WorkerID) {
-	if w, ok := sc.workers[id]; ok {
-		sc.markEnded(w, "its machine was taken away")
-		sc.forgetGivenUp(w)
-	}
-}
-
-// Machine is an entry of the platform's list of machines.
-type Machine struct {
-	// Worker is the worker that the machine runs, "" for none.
-	Worker work.WorkerID
-	// Up means that the machine is neither down nor in an operation.
-	Up bool
-}
-
-// Reconcile marks workers ended by the platform's list of machines, by name; sent is when the list was requested. Workers of machines that aren't in the list are left alone. A machine runs one worker at a
-// time: a worker that is inherited or has not replied since before sent, and whose machine runs another worker or none,
-// has ended, and its tasks need not wait for its leases to expire.
-func (sc *Scheduler) Reconcile(machines map[string]Machine, sent time.Time) {
-	now := time.Now()
-	for id, w := range sc.workers {
-		current, listed := machines[w.Machine]
-		if w.ended || w.Machine == "" || !listed || current.Worker == id {
-			continue
-		}
-		if sc.inherited[id] != nil || !w.unresponsiveSince.IsZero() && w.unresponsiveSince.Before(sent) {
-			sc.log.Info("engine: machine runs another worker or none; marking worker ended", zap.String("machine", w.Machine),
-				zap.String("worker", string(id)), zap.String("now", string(current.Worker)), zap.Bool("up", current.Up),
-				zap.Duration("list", now.Sub(sent)), zap.Bool("prior", sc.inherited[id] != nil), zap.Bool("listed", w.listed),
-				zap.Duration("silent", elapsed(w.unresponsiveSince, now)), zap.Duration("lease", sc.leasesEnd(w).Sub(now)),
-				zap.Int("runs", len(w.runs)))
-			sc.markCrashed(w, "its machine runs another worker or none")
-		}
-	}
-}
-
-// AwaitsLeaseExpiry reports whether tasks wait for the leases of an unresponsive or inherited worker to expire.
-func (sc *Scheduler) AwaitsLeaseExpiry() bool {
-	if len(sc.inherited) > 0 {
-		return true
-	}
-	for _, w := range sc.workers {
-		if !w.unresponsiveSince.IsZero() && len(w.runs) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Cordon keeps new tasks away from a worker that is about to be taken away, or lifts that.
 func (sc *Scheduler) Cordon(id work.WorkerID, cordoned bool) {
 	if w, ok := sc.workers[id]; ok {
@@ -396,9 +333,15 @@
 	if sc.inherited[w.ID] != nil {
 		end = sc.inheritedUntil
 	}
-	for _, other := range []time.Time{w.formerLeasesEnd, w.lateStartsUntil} {
-		if other.After(end) {
-			end = other
+	if w.formerLeasesEnd.After(end) {
+		end = w.formerLeasesEnd
+	}
+	for _, r := range w.runs {
+		if !r.lingers {
+			continue
+		}
+		if last := r.lingersUntil.Add(sc.options.maxLeaseTime()); last.After(end) {
+			end = last
 		}
 	}
 	return end
@@ -411,7 +354,7 @@
 // may have ended before that, so while it may have any, a patient renewal must have failed too: replies that this process
 // did not read in time may have said so.
 func (sc *Scheduler) mayGiveUp(w *worker, now time.Time) bool {
-	return !w.unresponsiveSince.IsZero() && w.inUse && (w.silent || !sc.mayRun(w)) &&
+	return !w.unresponsiveSince.IsZero() && w.inUse && !w.holdsOnlyLingering() && (w.silent || !sc.mayRun(w)) &&
 		sc.leasesExpired(sc.leasesEnd(w), now)
 }
 
@@ -422,8 +365,13 @@
 		zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)), zap.Bool("prior", sc.inherited[w.ID] != nil),
 		zap.Duration("silent", now.Sub(w.unresponsiveSince)), zap.Int64("clock", w.clock),
 		zap.Int64("until", w.lastLeaseEnd))
-	sc.giveUpRuns(w, "leases expired")
-	sc.clearInUse(w)
+	sc.giveUpRuns(w, workerEnd{reason: "leases expired"})
+	if len(w.runs) == 0 {
+		sc.clearInUse(w)
+	} else {
+		// The failed renewal says nothing of the leases under which a lingering run may have started.
+		w.silent = false
+	}
 	w.confirmed = false
 	delete(sc.inherited, w.ID)
 	sc.touch(w)
@@ -448,6 +396,7 @@
 		if sc.mayGiveUp(w, now) {
 			sc.expireLeases(w, now)
 		}
+		sc.expireLingering(w, now)
 		if sc.isGone(w, now) {
 			sc.touch(w)
 			sc.index.remove(w)
@@ -467,6 +416,13 @@
 	if w.listed || len(w.runs) > 0 || w.inUse || sc.inherited[w.ID] != nil || !w.ended && w.unresponsiveSince.IsZero() {
 		return false
 	}
+	if last := w.unresponsiveSince; w.fenceUsed || w.fenceRaise > 0 {
+		// A worker that comes back under its id must still get a higher fencing token than these calls had.
+		if w.endedAt.After(last) {
+			last = w.endedAt
+		}
+		return now.Sub(last) > lateCommandTime && now.After(sc.leasesEnd(w))
+	}
 	return w.clockReadAt.IsZero() || now.After(sc.leasesEnd(w))
 }
 
--- a/internal/serve/leader/orders.go
+++ b/internal/serve/leader/orders.go
@@ -48,7 +48,7 @@
 	r := relay.Result{Order: o, Outcome: engine.Withheld}
 	// Authority may have ended since the order was planned, for example while the process was frozen.
 	if s.hasAuthority() {
-		r = s.service.executor.Run(ctx, o, s.leadership.FencingToken(), s.hasAuthority)
+		r = s.service.executor.Run(ctx, o, s.hasAuthority)
 	}
 	if ctx.Err() == nil {
 		s.results.add(r)
@@ -100,7 +100,7 @@
 		s.work.handling.Add(int64(time.Since(now)))
 	}()
 	for _, r := range results {
-		fenced = fenced || r.Outcome == engine.Fenced
+		fenced = fenced || r.Outcome.IsFenced() && !s.scheduler.ExplainsFenced(r.Worker(), r.Fence())
 		changed = changed || r.Command == nil || r.Outcome != engine.Applied
 		if r.Command != nil {
 			s.scheduler.HandleOutcome(r.Command, r.Outcome, r.Sent)
@@ -111,7 +111,7 @@
 		case engine.Applied:
 			s.scheduler.HandleRenewal(r.Renewal, r.Reply, r.Sent)
 		case engine.Fenced:
-			// Leadership is lost: the new leader decides what happens to the runs.
+			// Leadership is lost, or the renewal was overtaken by one to a new incarnation.
 		default:
 			s.scheduler.HandleRenewalFailure(r.Renewal, r.Outcome)
 		}
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -98,6 +98,7 @@
 
 func newSession(s *Service, l *elect.Leadership, rows *rowlog.Log) *session {
 	scheduler := engine.New(s.Options.Scheduler, l.Term(), s.Log)
+	scheduler.ConfirmFences(l.FencingToken(), int64(l.Version()))
 	return &session{
 		service: s, leadership: l, log: s.Log, scheduler: scheduler, intake: intake.NewController(scheduler.Weight),
 		awaited:  awaitedJobs{},
@@ -293,6 +294,7 @@
 		s.service.gauges.logRows.Update(int64(s.rows.Rows()))
 	}
 	s.mu.Lock()
+	s.scheduler.ConfirmFences(s.leadership.FencingToken(), int64(s.leadership.Version()))
 	s.scheduler.HandleCommit(batch)
 	batch.Jobs(func(id work.JobID) {
 		if s.awaited.stored(id) {
--- a/internal/serve/relay/copies_test.go
+++ b/internal/serve/relay/copies_test.go
@@ -63,7 +63,7 @@
 // contexts are random, against one of which two copies were sent that counts as sent once, and against one that never gets an
 // outcome.
 func TestOutcomeOfRandomCopies(t *testing.T) {
-	declines := []engine.Outcome{engine.NotSent, engine.Unhealthy, engine.Full, engine.Outdated, engine.LeaseExpired,
+	declines := []engine.Outcome{engine.NotSent, engine.Unhealthy, engine.Full, engine.Outdated, engine.LeaseExpired, engine.Fenced,
 		engine.TicketRequired, engine.Invalid}
 	random := rand.New(rand.NewPCG(1, 2))
 	for n := range 5000 {
@@ -86,7 +86,7 @@
 			defer cancel()
 			may := random.IntN(5) > 0
 			began := time.Now()
-			r := NewExecutor(w, zap.NewNop()).Run(ctx, Order{Command: engine.Start{Worker: "w"}}, 1, func() bool { return may })
+			r := NewExecutor(w, zap.NewNop()).Run(ctx, Order{Command: engine.Start{Worker: "w"}}, func() bool { return may })
 			took := time.Since(began)
 			synctest.Wait()
 			if w.executed && slices.Contains(declines, r.Outcome) || took > 2*testTimeout {
--- a/internal/serve/relay/hedge.go
+++ b/internal/serve/relay/hedge.go
@@ -47,7 +47,7 @@
 }
 
 // Run executes an order and returns its result. A second copy is sent only while may reports that the order may be sent.
-func (e *Executor) Run(ctx context.Context, o Order, fence int64, may func() bool) Result {
+func (e *Executor) Run(ctx context.Context, o Order, may func() bool) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h := &hedge{done: make(chan struct{})}
@@ -55,11 +55,11 @@
 		if !h.begin(func() bool { return e.allow() && may() }) {
 			return
 		}
-		if h.send(func() Result { return e.sendSecond(ctx, o, fence) }) {
+		if h.send(func() Result { return e.sendSecond(ctx, o) }) {
 			cancel()
 		}
 	})
-	r := e.execute(ctx, o, fence)
+	r := e.execute(ctx, o)
 	waiting := timer.Stop()
 	if h.end() {
 		return h.combine(r)
@@ -72,7 +72,7 @@
 	}
 	if waiting && ctx.Err() == nil && e.allow() && may() {
 		// The connection broke before the second copy was due.
-		return e.sendSecond(ctx, o, fence)
+		return e.sendSecond(ctx, o).afterLostCopy()
 	}
 	return r
 }
@@ -94,7 +94,12 @@
 
 // replied reports whether there was a reply to the copy; done must be closed, except in send.
 func (h *hedge) replied() bool {
-	return h.result.Outcome != engine.NoReply && h.result.Outcome != engine.NoReplyAgain
+	switch h.result.Outcome {
+	case engine.NoReply, engine.NoReplyAgain, engine.NotSent:
+		return false
+	default:
+		return true
+	}
 }
 
 // end keeps the copy from being sent, and reports whether it has been sent before.
@@ -116,18 +121,24 @@
 			first.Outcome = engine.AppliedAgain
 		}
 		return first
-	case engine.Fenced, engine.Replaced:
+	case engine.Fenced:
+		if isStart {
+			first.Outcome = engine.FencedAgain
+		}
+		return first
+	case engine.Replaced:
 		return first
 	case engine.NotSent:
-		// The second copy is the only one.
-		if h.isDone() && h.replied() {
+		// The second copy is the only one, and ends soon, if it could not be sent either.
+		<-h.done
+		if h.replied() || h.result.Outcome == engine.NotSent {
 			return h.result
 		}
 		first.Outcome = engine.NoReply
 		return first
 	case engine.NoReply:
 		if h.isDone() {
-			return h.result
+			return h.result.afterLostCopy()
 		}
 		if isStart {
 			first.Outcome = engine.NoReplyAgain
@@ -139,12 +150,20 @@
 	if h.replied() {
 		return h.result
 	}
-	if isStart {
+	if isStart && h.result.Outcome != engine.NotSent {
 		first.Outcome = engine.DeclinedAgain
 	}
 	return first
 }
 
+// afterLostCopy returns the result of a second copy as that of an order whose first copy has no reply.
+func (r Result) afterLostCopy() Result {
+	if r.Outcome == engine.NotSent {
+		r.Outcome = engine.NoReply
+	}
+	return r
+}
+
 func (h *hedge) isDone() bool {
 	select {
 	case <-h.done:
@@ -155,14 +174,10 @@
 }
 
 // sendSecond sends a second copy of an order. What declines it says nothing of the first copy, which may still be executed.
-func (e *Executor) sendSecond(ctx context.Context, o Order, fence int64) Result {
+func (e *Executor) sendSecond(ctx context.Context, o Order) Result {
 	sent := time.Now()
-	r := e.execute(ctx, o, fence)
+	r := e.execute(ctx, o)
 	r.Sent = sent
-	if r.Outcome == engine.NotSent {
-		r.Outcome = engine.NoReply
-		return r
-	}
 	if _, ok := o.Command.(engine.Start); !ok {
 		return r
 	}
@@ -171,7 +186,9 @@
 		r.Outcome = engine.AppliedAgain
 	case engine.NoReply:
 		r.Outcome = engine.NoReplyAgain
-	case engine.Fenced, engine.Replaced:
+	case engine.Fenced:
+		r.Outcome = engine.FencedAgain
+	case engine.NotSent, engine.Replaced:
 	default:
 		r.Outcome = engine.DeclinedAgain
 	}
--- a/internal/serve/relay/hedge_test.go
+++ b/internal/serve/relay/hedge_test.go
@@ -76,7 +76,13 @@
 			hedgeDelay + testReply},
 		{"no room for the second copy", start, []answer{lost, {testReply, engine.Full}}, true, engine.DeclinedAgain, 2,
 			hedgeDelay + testReply},
-		{"second copy fenced", start, []answer{lost, {testReply, engine.Fenced}}, true, engine.Fenced, 2, hedgeDelay + testReply},
+		{"second copy fenced", start, []answer{lost, {testReply, engine.Fenced}}, true, engine.FencedAgain, 2, hedgeDelay + testReply},
+		{"first copy fenced, second executed before", start, []answer{{hedgeDelay + 10*testReply, engine.Fenced},
+			{testReply, engine.Applied}}, true, engine.AppliedAgain, 2, hedgeDelay + 10*testReply},
+		{"first copy fenced, second unknown", start, []answer{{hedgeDelay + 10*testReply, engine.Fenced}, lost}, true,
+			engine.FencedAgain, 2, hedgeDelay + 10*testReply},
+		{"no copy sent", start, []answer{{hedgeDelay + 10*testReply, engine.NotSent}, {20 * testReply, engine.NotSent}}, true,
+			engine.NotSent, 2, hedgeDelay + 20*testReply},
 		{"second copy not sent", start, []answer{lost, {0, engine.NotSent}}, true, engine.NoReply, 2, testTimeout},
 		{"first answer late", start, []answer{{hedgeDelay + 2*testReply, engine.Applied}, lost}, true, engine.AppliedAgain, 2,
 			hedgeDelay + 2*testReply},
@@ -101,7 +107,7 @@
 					x.within = testTimeout
 				}
 				began := time.Now()
-				r := NewExecutor(w, zap.NewNop()).Run(t.Context(), x.order, 1, func() bool { return x.may })
+				r := NewExecutor(w, zap.NewNop()).Run(t.Context(), x.order, func() bool { return x.may })
 				took := time.Since(began)
 				synctest.Wait()
 				if r.Outcome != x.outcome || w.calls.Load() != x.copies || took > x.within {
@@ -135,7 +141,7 @@
 			loops.Go(func() {
 				for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(95 * time.Millisecond) {
 					orders.Add(1)
-					r := e.Run(t.Context(), Order{Command: engine.Start{Worker: "w"}}, 1, func() bool { return true })
+					r := e.Run(t.Context(), Order{Command: engine.Start{Worker: "w"}}, func() bool { return true })
 					if r.Outcome == engine.NoReply || r.Outcome == engine.NoReplyAgain {
 						unknown.Add(1)
 					}
@@ -158,7 +164,7 @@
 		const orders = 5000
 		var loops sync.WaitGroup
 		for range orders {
-			loops.Go(func() { e.Run(t.Context(), Order{Command: engine.Start{Worker: "w"}}, 1, func() bool { return true }) })
+			loops.Go(func() { e.Run(t.Context(), Order{Command: engine.Start{Worker: "w"}}, func() bool { return true }) })
 			time.Sleep(time.Millisecond)
 		}
 		loops.Wait()
--- a/internal/serve/relay/link.go
+++ b/internal/serve/relay/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -161,11 +162,12 @@
 		_ = stream.Close()
 	})
 	for ctx.Err() == nil {
-		if err := stream.Send(l.nextBatch()); err != nil {
+		batch, more := l.nextBatch()
+		if err := stream.Send(batch); err != nil {
 			cancel(err)
 			break
 		}
-		if !pause(ctx, l.wake, l.pool.flushInterval(), ordersInterval) {
+		if !more && !pause(ctx, l.wake, l.pool.flushInterval(), ordersInterval) {
 			break
 		}
 	}
@@ -190,19 +192,25 @@
 	return stream, err
 }
 
-// nextBatch returns the next message: the queued orders, if the leader has authority.
-func (l *link) nextBatch() peer.RelayOrders {
+// nextBatch returns the next message: the queued orders that share the first one's fencing token, and whether there are more.
+func (l *link) nextBatch() (peer.RelayOrders, bool) {
 	o := &l.pool.options
 	authority := max(o.Authority(), 0)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := batch{message: peer.RelayOrders{Term: o.Term, Fence: o.Fence, Echo: l.stamp, Authority: authority}}
-	for _, q := range l.queue {
+	if len(l.queue) > 0 {
+		b.message.Fence = l.queue[0].Fence()
+	}
+	l.queue = slices.DeleteFunc(l.queue, func(q numberedOrder) bool {
+		if q.Fence() != b.message.Fence {
+			return false
+		}
 		b.add(q.id, q.Order)
 		l.inFlight[q.id] = q.Order
-	}
-	l.queue = l.queue[:0]
-	return b.message
+		return true
+	})
+	return b.message, len(l.queue) > 0
 }
 
 // receive handles reports until the stream ends.
--- a/internal/serve/relay/notsent_test.go
+++ b/internal/serve/relay/notsent_test.go
@@ -70,7 +70,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := &slowDial{answerAfter: x.answerAfter}
-				r := NewExecutor(w, zap.NewNop()).Run(t.Context(), x.order, 1, func() bool { return true })
+				r := NewExecutor(w, zap.NewNop()).Run(t.Context(), x.order, func() bool { return true })
 				synctest.Wait()
 				if !w.executed.Load() {
 					t.Fatal("the second copy was not sent")
--- a/internal/serve/relay/order.go
+++ b/internal/serve/relay/order.go
@@ -40,6 +40,19 @@
 	return o.Renewal.Worker
 }
 
+// Fence returns the fencing token with which an order is sent.
+func (o Order) Fence() int64 {
+	switch c := o.Command.(type) {
+	case engine.Start:
+		return c.Fence
+	case engine.Stop:
+		return c.Fence
+	case engine.Throttle:
+		return c.Fence
+	}
+	return o.Renewal.Fence
+}
+
 // Result is what has become of an order. Reply is set for an applied renewal.
 type Result struct {
 	Order
@@ -49,7 +62,7 @@
 
 // execute sends one copy of an order. An order whose execution panics has no reply: it would end the process of each instance
 // that tries it.
-func (e *Executor) execute(ctx context.Context, o Order, fence int64) (r Result) {
+func (e *Executor) execute(ctx context.Context, o Order) (r Result) {
 	r = Result{Order: o, Outcome: engine.NoReply}
 	defer func() {
 		if p := recover(); p != nil {
@@ -58,9 +71,9 @@
 		}
 	}()
 	if o.Command != nil {
-		r.Outcome = e.workers.Execute(ctx, o.Command, fence)
+		r.Outcome = e.workers.Execute(ctx, o.Command, o.Fence())
 	} else {
-		r.Reply, r.Outcome = e.workers.Renew(ctx, o.Renewal, fence)
+		r.Reply, r.Outcome = e.workers.Renew(ctx, o.Renewal, o.Fence())
 	}
 	return r
 }
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -24,6 +24,8 @@
 	// starts are the times at which each task was started.
 	starts map[work.TaskID][]time.Time
 	specs  map[string]int
+	// fences are the fencing tokens of the calls that were not renewals.
+	fences map[work.RunKey]int64
 	// renewals counts the calls for a renewal. The reply lists an end from endsAt on.
 	renewals int
 	endsAt   time.Time
@@ -32,10 +34,14 @@
 }
 
 // Execute implements relay.Workers.
-func (w *workers) Execute(_ context.Context, c engine.Command, _ int64) engine.Outcome {
+func (w *workers) Execute(_ context.Context, c engine.Command, fence int64) engine.Outcome {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if s, ok := c.(engine.Stop); ok {
+		w.fences[s.Run] = fence
+	}
 	if s, ok := c.(engine.Start); ok {
+		w.fences[s.Run] = fence
 		if s.Spec == "malformed" {
 			panic("malformed")
 		}
@@ -98,7 +104,7 @@
 func testRelay(t *testing.T, f func(s *setup)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &setup{authority: 2 * time.Second, workers: &workers{starts: map[work.TaskID][]time.Time{}, specs: map[string]int{},
-			endsAt: time.Now().Add(time.Hour)}}
+			fences: map[work.RunKey]int64{}, endsAt: time.Now().Add(time.Hour)}}
 		server := relay.NewServer(s.workers, func() int64 { return s.knownTerm }, metrics.NewRegistry(), zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		s.pool = relay.NewPool(relay.Options{Term: 3, Fence: 7, Authority: func() time.Duration { return s.authority },
@@ -160,6 +166,35 @@
 	})
 }
 
+// Guards against an order that its relay sends with the fencing token of another incarnation than the one it was planned for.
+func TestOrdersKeepTheirFences(t *testing.T) {
+	testRelay(t, func(s *setup) {
+		var orders []relay.Order
+		for i := range 9 {
+			o := start(i)
+			c := o.Command.(engine.Start)
+			c.Fence = int64(7 + i%3)
+			o.Command = c
+			if i > 5 {
+				o.Command = engine.Stop{Worker: "w", Address: "w:1", Run: c.Run, Fence: c.Fence}
+			}
+			orders = append(orders, o)
+		}
+		if !s.pool.Send("r", orders) {
+			t.Fatal("the relay takes no orders")
+		}
+		pass(50 * time.Millisecond)
+		if got := s.outcomes(); got[engine.Applied] != len(orders) {
+			t.Errorf("outcomes after 50 ms: %v", got)
+		}
+		for i := range orders {
+			if got, want := s.workers.fences[run(i)], int64(7+i%3); got != want {
+				t.Errorf("order %d has the fencing token %d, want %d", i, got, want)
+			}
+		}
+	})
+}
+
 // Guards against a relay that takes what it can't reach for what the leader can't reach: only the leader's own calls
 // show that a worker does not reply.
 func TestRelayedOutcomes(t *testing.T) {
--- a/internal/serve/relay/server.go
+++ b/internal/serve/relay/server.go
@@ -114,7 +114,7 @@
 	s.orders.Inc(int64(len(m.Starts) + len(m.Stops) + len(m.Throttles) + len(m.Renewals)))
 	for _, o := range ordersOf(m) {
 		loops.Go(func() {
-			r := c.run(ctx, o, m.Fence, until)
+			r := c.run(ctx, o, until)
 			if ctx.Err() == nil {
 				c.add(o.id, r)
 			}
@@ -129,17 +129,17 @@
 }
 
 // run executes one order. A renewal is repeated until a run ends, the worker restarts or its wait is over.
-func (c *connection) run(ctx context.Context, o numberedOrder, fence int64, until time.Duration) Result {
+func (c *connection) run(ctx context.Context, o numberedOrder, until time.Duration) Result {
 	s := c.server
 	if !c.mayActUntil(until) {
 		s.withheld.Inc(1)
 		return Result{Order: o.Order, Outcome: engine.Withheld}
 	}
 	end := time.Now().Add(o.wait)
-	r := s.executor.Run(ctx, o.Order, fence, func() bool { return c.mayActUntil(until) })
+	r := s.executor.Run(ctx, o.Order, func() bool { return c.mayActUntil(until) })
 	for r.Outcome == engine.Applied && o.wait > 0 && len(r.Reply.Ended) == 0 && time.Now().Before(end) &&
 		c.mayActUntil(time.Duration(c.until.Load())) {
-		next := s.executor.Run(ctx, o.Order, fence, func() bool { return c.mayActUntil(time.Duration(c.until.Load())) })
+		next := s.executor.Run(ctx, o.Order, func() bool { return c.mayActUntil(time.Duration(c.until.Load())) })
 		restarted := next.Reply.Incarnation != r.Reply.Incarnation
 		r = next
 		if restarted {
--- a/internal/serve/relay/wire.go
+++ b/internal/serve/relay/wire.go
@@ -81,19 +81,19 @@
 	}
 	for _, o := range m.Starts {
 		add(o.Target, engine.Start{Worker: work.WorkerID(o.Target.Worker), Address: o.Target.Address, Run: runKey(o.Run),
-			Spec: m.Specs[o.Spec], LeaseEnd: o.LeaseEnd, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
+			Spec: m.Specs[o.Spec], Fence: m.Fence, LeaseEnd: o.LeaseEnd, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
 	}
 	for _, o := range m.Stops {
-		add(o.Target, engine.Stop{Worker: work.WorkerID(o.Target.Worker), Address: o.Target.Address, Run: runKey(o.Run)})
+		add(o.Target, engine.Stop{Worker: work.WorkerID(o.Target.Worker), Address: o.Target.Address, Run: runKey(o.Run), Fence: m.Fence})
 	}
 	for _, o := range m.Throttles {
 		add(o.Target, engine.Throttle{Worker: work.WorkerID(o.Target.Worker), Address: o.Target.Address,
-			Run: runKey(o.Run), Percent: o.Percent})
+			Run: runKey(o.Run), Percent: o.Percent, Fence: m.Fence})
 	}
 	for _, o := range m.Renewals {
 		list = append(list, numberedOrder{id: o.Target.ID, wait: o.Wait, Order: Order{Renewal: engine.Renewal{
 			Worker: work.WorkerID(o.Target.Worker), Address: o.Target.Address, ExtendLease: o.LeaseEnd > 0,
-			LeaseEnd: o.LeaseEnd, AckedEnd: o.AckedEnd, Wait: o.Poll}}})
+			LeaseEnd: o.LeaseEnd, AckedEnd: o.AckedEnd, Wait: o.Poll, Fence: m.Fence}}})
 	}
 	return list
 }
@@ -105,7 +105,7 @@
 	engine.LeaseExpired: peer.CodeLeaseExpired, engine.Fenced: peer.CodeFenced, engine.Replaced: peer.CodeReplaced,
 	engine.TicketRequired: peer.CodeTicketRequired, engine.Invalid: peer.CodeInvalid, engine.Withheld: peer.CodeWithheld,
 	engine.AppliedAgain: peer.CodeAppliedAgain, engine.DeclinedAgain: peer.CodeDeclinedAgain,
-	engine.NoReplyAgain: peer.CodeNoReplyAgain,
+	engine.NoReplyAgain: peer.CodeNoReplyAgain, engine.FencedAgain: peer.CodeFencedAgain,
 }
 
 var outcomes = invert(codes)
--- a/internal/wire/peer/relay.go
+++ b/internal/wire/peer/relay.go
@@ -142,6 +142,7 @@
 	CodeAppliedAgain   OutcomeCode = 13
 	CodeDeclinedAgain  OutcomeCode = 14
 	CodeNoReplyAgain   OutcomeCode = 15
+	CodeFencedAgain    OutcomeCode = 16
 )
 
 // Validate returns an error for an invalid message.
