engine: A new leader waits for workers of all pools in which tasks may have started

A queue goes to another pool, where tasks start, and back; the leader is killed while a worker of the other pool is cut off; the next leader starts the tasks that run there once more.

Cause: after a takeover a step waits for unreported workers of the pool that its queue has now or had at the job's acceptance. Nothing stored named a pool in between.

Why it works: the progress of a job names the other pools before a task of it starts there, and the new leader waits for their workers, as it does for those of the other two.

--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -45,6 +45,10 @@
 	// committedVersion is the version that the store holds; progressWritten means that a progress record was written.
 	committedVersion int
 	progressWritten  bool
+	// otherPools are the pools besides that at its acceptance in which tasks of the job may have started, otherPoolsVersion is
+	// the version with the last one of them.
+	otherPools        []string
+	otherPoolsVersion int
 }
 
 // acceptedSettings are the queue settings that a job keeps from its acceptance.
@@ -244,6 +248,7 @@
 		}
 		s.ready = true
 	}
+	sc.noteOtherPool(j)
 	sc.pool(sc.poolOf(j)).add(s)
 }
 
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -142,7 +142,7 @@
 		switch {
 		case !p.ready[s]:
 			s.ordered = false
-		case s.due.After(now) || sc.awaitsInherited(s):
+		case s.due.After(now) || sc.awaitsInherited(s) || !sc.mayStartInPool(s.job):
 			others = append(others, s)
 		default:
 			list = append(list, s)
@@ -304,7 +304,7 @@
 	}
 	pool := sc.poolOf(s.job)
 	for _, w := range sc.inherited {
-		if w.Pool == pool || w.Pool == s.job.settings.Pool {
+		if w.Pool == pool || w.Pool == s.job.settings.Pool || slices.Contains(s.job.otherPools, w.Pool) {
 			return true
 		}
 	}
--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -41,9 +41,11 @@
 // progress is the stored progress of a job that has not ended.
 type progress struct {
 	// Opened and Closed count the rounds that were opened and those of them that are complete.
-	Opened int            `json:"opened"`
-	Closed int            `json:"closed"`
-	Steps  []stepProgress `json:"steps,omitempty"`
+	Opened int `json:"opened"`
+	Closed int `json:"closed"`
+	// Pools are those besides the one at acceptance in which tasks of the job may have started.
+	Pools []string       `json:"pools,omitempty"`
+	Steps []stepProgress `json:"steps,omitempty"`
 }
 
 // stepProgress is the progress of one step of an open round.
@@ -295,7 +297,7 @@
 // progress returns the progress to store with checkpoints of at most a number of bytes, and how many checkpoints it leaves out:
 // a task without one starts from the beginning.
 func (j *job) progress(room int) (p progress, left int) {
-	p = progress{Opened: j.openedRounds, Closed: j.closedRounds}
+	p = progress{Opened: j.openedRounds, Closed: j.closedRounds, Pools: j.otherPools}
 	for _, s := range j.stepStates {
 		e := stepProgress{Round: s.round, Step: s.step}
 		for i := range s.tasks {
@@ -347,6 +349,9 @@
 // progressSize returns an upper bound of the size of the stored progress without checkpoints, in bytes.
 func (j *job) progressSize() int {
 	size := 2 * encodedStep
+	for _, name := range j.otherPools {
+		size += encodedEntry + len(name)
+	}
 	for _, s := range j.stepStates {
 		size += encodedStep + (len(s.tasks)+7)/8
 		for i := range s.tasks {
--- a/internal/sched/engine/restore.go
+++ b/internal/sched/engine/restore.go
@@ -97,6 +97,7 @@
 func (j *job) restoreProgress(sc *Scheduler, p progress) {
 	j.progressWritten = true
 	j.closedRounds = p.Closed
+	j.otherPools = p.Pools
 	open := map[int]bool{}
 	for _, e := range p.Steps {
 		open[e.Round] = true
