engine: Speculative tasks and ended jobs don't wait for late starts

Cause: every run whose start may still be executed lingered.

Evidence: testdata/machinespeculative fails before: run 2 does not start.

Why it works: only runs of tasks that may run once and are not complete linger.

--- a/internal/sched/engine/linger.go
+++ b/internal/sched/engine/linger.go
@@ -19,10 +19,14 @@
 }
 
 // mayLinger reports whether a copy of a run's start may be executed, or have been executed, by an incarnation of its worker
-// that has not reported it. No worker ran on its machine at a time, unless that is zero.
+// that has not reported it, and whether that matters: a speculative task may have several runs, and one that is complete does
+// not start again. No worker ran on its machine at a time, unless that is zero.
 func (sc *Scheduler) mayLinger(r *run, noneAt, now time.Time) bool {
 	copiesLeft := r.repeated || r.copiesUnknown
+	s := r.stepState
 	switch {
+	case s == nil || s.spec.Speculative || s.job.state.Final() || s.tasks[r.key.Task.Index].done:
+		return false
 	case !r.listedAt.IsZero() && !copiesLeft:
 		return false
 	case now.After(r.maxLateness().Add(sc.options.maxLeaseTime())):
