engine: A machine that is in no list ends the wait for its worker's late starts

Cause: a worker was lost for good at the moment of five starts, which lingered for 24 s: its machine was in no list any more, and only machines in the list were looked at.

Why it works: a worker that the platform does not list, on a machine that it does not list either, can't come back under its id. Either one alone proves nothing: entries of workers expire while the store is away, and a list of pages may lack a machine.

--- a/internal/sched/engine/ended.go
+++ b/internal/sched/engine/ended.go
@@ -58,17 +58,23 @@
 	Up bool
 }
 
-// Reconcile marks workers ended by the platform's list of machines, by name; sent is when the list was requested. Workers of machines that aren't in the list are left alone. A machine runs one worker at a
-// time: a worker that is inherited or has not replied since before sent, and whose machine runs another worker or none,
-// has ended, and its tasks need not wait for its leases to expire.
+// Reconcile marks workers ended by the platform's list of machines, by name; sent is when the list was requested. A machine runs
+// one worker at a time: a worker that is inherited or has not replied since before sent, and whose machine runs another worker
+// or none, has ended, and its tasks need not wait for its leases to expire. Of workers whose machine isn't in the list only the
+// lingering runs are released, once the platform does not list the worker either.
 func (sc *Scheduler) Reconcile(machines map[string]Machine, sent time.Time) {
 	now := time.Now()
 	for id, w := range sc.workers {
-		current, listed := machines[w.Machine]
-		if w.Machine == "" || !listed || current.Worker == id {
+		current, found := machines[w.Machine]
+		switch {
+		case w.Machine == "" || found && current.Worker == id:
 			continue
-		}
-		if w.ended {
+		case !found:
+			if len(machines) > 0 && !w.listed {
+				sc.releaseAllLingering(w, "its machine is gone")
+			}
+			continue
+		case w.ended:
 			sc.reconcileLingering(w, current, sent)
 			continue
 		}
--- a/internal/sched/engine/linger.go
+++ b/internal/sched/engine/linger.go
@@ -72,17 +72,26 @@
 // reconcileLingering releases lingering runs of an ended worker by its machine's entry in a list that was requested at a time:
 // another worker declines their starts, and a machine without one at a time after the last start runs none of them.
 func (sc *Scheduler) reconcileLingering(w *worker, current Machine, sent time.Time) {
+	if current.Worker != "" {
+		sc.releaseAllLingering(w, "its machine runs another worker")
+		return
+	}
 	for _, r := range w.runs {
-		switch {
-		case !r.lingers:
-		case current.Worker != "":
-			sc.releaseLingering(r, "its machine runs another worker")
-		case sent.After(r.lingersUntil):
+		if r.lingers && sent.After(r.lingersUntil) {
 			sc.releaseLingering(r, "too old, its machine runs no worker")
 		}
 	}
 }
 
+// releaseAllLingering releases the lingering runs of a worker that can't come back under its id.
+func (sc *Scheduler) releaseAllLingering(w *worker, why string) {
+	for _, r := range w.runs {
+		if r.lingers {
+			sc.releaseLingering(r, why)
+		}
+	}
+}
+
 // holdsOnlyLingering reports whether a worker has runs and all of them linger.
 func (w *worker) holdsOnlyLingering() bool {
 	for _, r := range w.runs {
