engine: Progress of many waiting rounds is stored in a brief form

A scheduled job whose rounds wait for a zone that is out of service for 25 s is shown as failed, although no run of it has failed.

Cause: the progress row had an entry for each step of each open round, counted with 81 bytes and more, and a job whose progress does not fit a row is given up.

Why it works: only where the row would be too large, the open rounds are stored as ranges and complete steps as bitmaps, so that a waiting round takes 49 bytes at most. A job whose progress is too large even so still fails, as TestUnstorableJobFails demands.

--- a/internal/sched/engine/record.go
+++ b/internal/sched/engine/record.go
@@ -38,30 +38,6 @@
 	return r.Job.Validate()
 }
 
-// progress is the stored progress of a job that has not ended.
-type progress struct {
-	// Opened and Closed count the rounds that were opened and those of them that are complete.
-	Opened int `json:"opened"`
-	Closed int `json:"closed"`
-	// Pools are those besides the one at acceptance in which tasks of the job may have started.
-	Pools []string       `json:"pools,omitempty"`
-	Steps []stepProgress `json:"steps,omitempty"`
-}
-
-// stepProgress is the progress of one step of an open round.
-type stepProgress struct {
-	Round int `json:"round"`
-	Step  int `json:"step"`
-	// Done is a bitmap of the completed tasks.
-	Done []byte `json:"done,omitempty"`
-	// Failed are the numbers of the failed runs of unfinished tasks, by task index.
-	Failed map[int][]int64 `json:"failed,omitempty"`
-	// Checkpoints are the last checkpoints of unfinished tasks, by task index.
-	Checkpoints map[int]string `json:"saved,omitempty"`
-	// Crashes are the numbers of crashes that unfinished tasks may have caused, by task index.
-	Crashes map[int]int `json:"crashes,omitempty"`
-}
-
 // workerRecord is the stored form of a worker on which tasks may run.
 type workerRecord struct {
 	Pool        string `json:"pool"`
@@ -268,7 +244,11 @@
 // encodeJob adds the writes of a job: its record if it is new or has ended, else its progress.
 func (sc *Scheduler) encodeJob(j *job, add func(string, any) error, c *Batch) error {
 	key := string(j.ID)
-	size := j.progressSize()
+	size := j.progressSize(false)
+	brief := size > maxRowBytes
+	if brief {
+		size = j.progressSize(true)
+	}
 	if j.stored && !j.state.Final() && size > maxRowBytes {
 		// The store would refuse the row, and with it whatever is in the same transaction, from every leader.
 		sc.log.Error("engine: job failed, its progress is too large to be stored", zap.String("job", key), zap.Int("bytes", size))
@@ -285,7 +265,7 @@
 	if !j.stored {
 		return add(PrefixJob+key, jobRecord{Job: j.Job, Settings: j.settings})
 	}
-	p, left := j.progress(maxRowBytes - size)
+	p, left := j.progress(maxRowBytes-size, brief)
 	if left > 0 {
 		sc.log.Warn("engine: progress of a job is too large for a row, storing it without some checkpoints",
 			zap.String("job", key), zap.Int("left", left))
@@ -294,82 +274,6 @@
 	return add(PrefixRun+key, p)
 }
 
-// progress returns the progress to store with checkpoints of at most a number of bytes, and how many checkpoints it leaves out:
-// a task without one starts from the beginning.
-func (j *job) progress(room int) (p progress, left int) {
-	p = progress{Opened: j.openedRounds, Closed: j.closedRounds, Pools: j.otherPools}
-	for _, s := range j.stepStates {
-		e := stepProgress{Round: s.round, Step: s.step}
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.done {
-				if e.Done == nil {
-					e.Done = make([]byte, (len(s.tasks)+7)/8)
-				}
-				e.Done[i/8] |= 1 << (i % 8)
-				continue
-			}
-			if len(t.failedRuns) > 0 {
-				if e.Failed == nil {
-					e.Failed = map[int][]int64{}
-				}
-				e.Failed[i] = t.failedRuns
-			}
-			if n := t.suspicion.certain(); n > 0 {
-				if e.Crashes == nil {
-					e.Crashes = map[int]int{}
-				}
-				e.Crashes[i] = n
-			}
-			if t.checkpoint == "" {
-				continue
-			}
-			if room -= encodedEntry + len(t.checkpoint); room < 0 {
-				left++
-				continue
-			}
-			if e.Checkpoints == nil {
-				e.Checkpoints = map[int]string{}
-			}
-			e.Checkpoints[i] = t.checkpoint
-		}
-		p.Steps = append(p.Steps, e)
-	}
-	return p, left
-}
-
-// Bounds of the encoded sizes of parts of a progress record, in bytes: a step without its entries, a number, and the key and
-// head of an entry of a map.
-const (
-	encodedStep   = 80
-	encodedNumber = 9
-	encodedEntry  = 10
-)
-
-// progressSize returns an upper bound of the size of the stored progress without checkpoints, in bytes.
-func (j *job) progressSize() int {
-	size := 2 * encodedStep
-	for _, name := range j.otherPools {
-		size += encodedEntry + len(name)
-	}
-	for _, s := range j.stepStates {
-		size += encodedStep + (len(s.tasks)+7)/8
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.done {
-				continue
-			}
-			if n := len(t.failedRuns); n > 0 {
-				size += encodedEntry + n*encodedNumber
-			}
-			if t.suspicion != nil {
-				size += encodedEntry + encodedNumber
-			}
-		}
-	}
-	return size
-}
-
 // HandleCommit records that the store holds a batch.
 func (sc *Scheduler) HandleCommit(c Batch) {
 	for id, version := range c.jobVersions {
--- a/internal/sched/engine/record_test.go
+++ b/internal/sched/engine/record_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -189,6 +190,54 @@
 	}
 }
 
+// Guards against a scheduled job that is given up because its rounds wait, for a zone that is out of service or a full pool, and
+// its progress has an entry for each step of each of them (LOST): a new leader has the same rounds open, and what was done.
+func TestProgressOfWaitingRounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rounds, steps = 600, 12
+		sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p", Attempts: 3}}},
+			[]work.Worker{{ID: "w1", Pool: "p", Capacity: work.Need{CPU: 1}}})
+		timed := work.Job{ID: "00000000000000a1", Queue: "q", Accepted: time.Now().UnixMilli(), Repeats: rounds,
+			First: time.Now().UnixMilli(), Interval: 100 * time.Millisecond}
+		for range steps {
+			timed.Steps = append(timed.Steps, work.Step{Count: 2, Need: work.Need{CPU: 1}})
+		}
+		if _, err := sc.Submit(timed); err != nil {
+			t.Fatal(err)
+		}
+		store(t, sc)
+		j := sc.jobs[timed.ID]
+		for j.openedRounds < rounds {
+			time.Sleep(100 * time.Millisecond)
+			sc.Tick()
+		}
+		// All steps but the last one are complete, and in one round that too.
+		for r := range rounds {
+			for step := range steps - 1 {
+				sc.finishTask(j.stepStates[stepKey{r, step}], 0)
+				sc.finishTask(j.stepStates[stepKey{r, step}], 1)
+			}
+		}
+		sc.finishTask(j.stepStates[stepKey{599, steps - 1}], 1)
+		sc.finishTask(j.stepStates[stepKey{70, steps - 1}], 0)
+		sc.finishTask(j.stepStates[stepKey{70, steps - 1}], 1)
+		next := takeOver(t, sc)
+		if j.state != work.Pending {
+			t.Fatalf("the job is %s", j.state)
+		}
+		restored := next.jobs[timed.ID]
+		if restored.openedRounds != rounds || restored.closedRounds != 1 || len(restored.stepStates) != (rounds-1)*steps {
+			t.Errorf("%d rounds opened, %d closed, %d steps open", restored.openedRounds, restored.closedRounds, len(restored.stepStates))
+		}
+		for k, s := range j.stepStates {
+			x := restored.stepStates[k]
+			if x == nil || x.unfinished != s.unfinished || x.waiting != s.waiting || x.tasks[1].done != s.tasks[1].done {
+				t.Fatalf("step %d of round %d is not restored", k.step, k.round)
+			}
+		}
+	})
+}
+
 // Guards against the same for a job whose progress is too large without any checkpoint: that job fails, and no other.
 func TestUnstorableJobFails(t *testing.T) {
 	sc, large := largeJob(t, 4, work.MaxCount)
--- a/internal/sched/engine/restore.go
+++ b/internal/sched/engine/restore.go
@@ -102,6 +102,11 @@
 	for _, e := range p.Steps {
 		open[e.Round] = true
 	}
+	for _, x := range p.Rounds {
+		for r := max(x.First, 0); r <= x.Last && r < j.Rounds(); r++ {
+			open[r] = true
+		}
+	}
 	rounds := make([]int, 0, len(open))
 	for r := range open {
 		rounds = append(rounds, r)
@@ -112,6 +117,13 @@
 		sc.openRound(j)
 	}
 	j.openedRounds = p.Opened
+	for _, x := range p.Complete {
+		for step := range min(len(j.Steps), 8*len(x.Steps)) {
+			if s, ok := j.stepStates[stepKey{x.Round, step}]; ok && x.Steps[step/8]&(1<<(step%8)) != 0 {
+				j.restoreCompleteStep(s)
+			}
+		}
+	}
 	for _, e := range p.Steps {
 		s, ok := j.stepStates[stepKey{e.Round, e.Step}]
 		if !ok {
@@ -137,3 +149,12 @@
 		}
 	}
 }
+
+// restoreCompleteStep marks all tasks of a step as done.
+func (j *job) restoreCompleteStep(s *stepState) {
+	for i := range s.tasks {
+		s.tasks[i].done = true
+	}
+	s.unfinished, s.waiting = 0, 0
+	j.started = true
+}
