--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -43,8 +43,9 @@
 var zones = []string{"north", "south", "west"}
 
 var plans = map[string]plan{
-	"crash": {zones: zones, entries: 6, workers: 15, cpu: 32000, play: playCrash},
-	"ends":  {zones: zones, entries: 6, workers: 9, cpu: 32000, play: playEnds},
+	"crash":  {zones: zones, entries: 6, workers: 15, cpu: 32000, play: playCrash},
+	"upkeep": {zones: zones, entries: 6, workers: 15, cpu: 32000, play: playUpkeep},
+	"ends":   {zones: zones, entries: 6, workers: 9, cpu: 32000, play: playEnds},
 }
 
 func main() {
@@ -84,7 +85,7 @@
 	rec.add("case %s, seed %d, trouble %v", name, seed, s.trouble)
 	s.store.put("op", "config", config(1))
 	s.fleet = newFleet(s.store, rec, "work", p.zones, p.workers, p.cpu)
-	s.system = newSystem(program, dir, rec, p.zones, p.entries, s.store, serve(s.fleet.cloud()))
+	s.system = newSystem(program, dir, rec, p.zones, p.entries, s.store, serve(s.fleet.cloudHandler()))
 	defer s.system.stop()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -50,6 +50,11 @@
 	ends map[string]map[string]int
 	// tasks are the starts and the ends of the runs of each task.
 	tasks map[string]*history
+	// entryLag is how long after its start a worker writes its entry.
+	entryLag time.Duration
+	cloud    cloudState
+	// twice are the starts of tasks that had another run at that time.
+	twice []string
 }
 
 // history is what has become of a task.
@@ -73,6 +78,20 @@
 	return f.tasks[name]
 }
 
+// noteOverlap records if a task starts while another worker that is up runs it; mu must be held.
+func (f *fleet) noteOverlap(task string, number int64, m *machine) {
+	for _, o := range f.machines {
+		if !o.up || o == m {
+			continue
+		}
+		o.endRuns()
+		if r := o.runs[task]; r != nil {
+			f.twice = append(f.twice, task)
+			f.record.add("TWICE: run %s %d on %s begins while run %d is at work on %s", task, number, m.id, r.number, o.id)
+		}
+	}
+}
+
 // again returns the tasks that were started after a run had ended done whose end was taken note of; mu must be held.
 func (f *fleet) again() []string {
 	var names []string
@@ -89,21 +108,21 @@
 
 // machine is a machine; a worker is one life of it.
 type machine struct {
-	fleet            *fleet
-	name, zone, rack string
-	address          string
-	cpu              int64
-	server           *http.Server
-	up               bool
-	id               string
-	born             time.Time
-	seq              int
-	fence, lease     int64
-	runs             map[string]*run
-	highest          map[string]int64
-	ended            [][]any
-	lastEnd          int64
-	changed          chan struct{}
+	fleet                *fleet
+	name, zone, rack     string
+	address              string
+	cpu                  int64
+	server               *http.Server
+	up, listed, inUpkeep bool
+	id                   string
+	born                 time.Time
+	seq                  int
+	fence, lease         int64
+	runs                 map[string]*run
+	highest              map[string]int64
+	ended                [][]any
+	lastEnd              int64
+	changed              chan struct{}
 	// unseen are the runs that ended done and that lastSeen has not reached, by the number of the end; lapsedAt is when the
 	// lease was last seen to have lapsed.
 	unseen   map[int64]*doneEnd
@@ -138,6 +157,7 @@
 		panic(err)
 	}
 	m.fleet.lives++
+	m.listed = false
 	m.id, m.born, m.up = fmt.Sprintf("i-%04d", m.fleet.lives), time.Now(), true
 	m.seq, m.fence, m.lease, m.lastEnd = 0, 0, 0, 0
 	m.runs, m.highest, m.ended, m.changed = map[string]*run{}, map[string]int64{}, nil, make(chan struct{})
@@ -156,7 +176,14 @@
 	}
 	m.server = &http.Server{Handler: mux}
 	go func(s *http.Server) { _ = s.Serve(l) }(m.server)
-	m.report()
+	time.AfterFunc(m.fleet.entryLag, func() {
+		m.fleet.mu.Lock()
+		defer m.fleet.mu.Unlock()
+		if m.up && m.id == id {
+			m.listed = true
+			m.report()
+		}
+	})
 }
 
 // report writes the worker's entry; mu must be held.
@@ -168,13 +195,17 @@
 	m.fleet.store.put("servers", m.id, entry)
 }
 
-// end ends the present life without a word; its entry is removed after three heartbeats of silence. mu must be held.
-func (m *machine) end(how string) {
+// end ends the present life; its entry is removed now, or after three heartbeats if the worker falls silent. mu must be held.
+func (m *machine) end(how string, silent bool) {
 	m.up = false
 	_ = m.server.Close()
 	m.fleet.record.add("worker %s on %s ends (%s) with %d runs", m.id, m.name, how, len(m.runs))
 	m.runs = map[string]*run{}
 	id := m.id
+	if !silent {
+		m.fleet.store.put("servers", id, nil)
+		return
+	}
 	time.AfterFunc(3*heartbeat, func() { m.fleet.store.put("servers", id, nil) })
 }
 
@@ -185,7 +216,7 @@
 	if !m.up {
 		return
 	}
-	m.end("crash")
+	m.end("crash", true)
 	time.AfterFunc(down, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -221,7 +252,7 @@
 				continue
 			}
 			m.endRuns()
-			if beat {
+			if beat && m.listed {
 				m.report()
 			}
 		}
@@ -351,6 +382,7 @@
 	}
 	m.extend(b.UntilMS)
 	m.fleet.record.add("run %s %d on %s begins", b.Task, b.Run, m.id)
+	m.fleet.noteOverlap(b.Task, b.Run, m)
 	h := m.fleet.task(b.Task)
 	h.starts = append(h.starts, time.Now())
 	m.runs[b.Task] = &run{number: b.Run, cpu: s.CPU, began: time.Now(), work: time.Duration(s.WorkMS) * time.Millisecond}
@@ -421,24 +453,3 @@
 	m.fleet.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{"clockMs": clock, "born": born, "running": running, "ended": ended})
 }
-
-// cloud is the platform's list of machines. There is one pool, so that no machine can be moved.
-func (f *fleet) cloud() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /machines", func(w http.ResponseWriter, _ *http.Request) {
-		f.mu.Lock()
-		list := []map[string]any{}
-		for _, m := range f.machines {
-			e := map[string]any{"machine": m.name, "pool": f.pool, "state": "down", "zone": m.zone, "labels": []string{"a", m.rack},
-				"capacity": map[string]int64{"cpu": m.cpu, "memMb": 131072, "gpu": 0}}
-			if m.up {
-				e["state"], e["id"] = "up", m.id
-			}
-			list = append(list, e)
-		}
-		f.mu.Unlock()
-		reply(w, http.StatusOK, map[string]any{"machines": list})
-	})
-	mux.HandleFunc("POST /", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusBadRequest, nil) })
-	return mux
-}
