--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -60,7 +60,7 @@
 		go func() {
 			for time.Sleep(5 * time.Second); time.Now().Before(end); time.Sleep(time.Duration(random.Int64N(int64(crashGap)))) {
 				if m := s.fleet.machines[random.IntN(len(s.fleet.machines))]; s.fleet.down() < maxDown {
-					s.fleet.crash(m, crashDown)
+					s.fleet.crash(m, crashDown, false)
 				}
 			}
 		}()
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -44,7 +44,8 @@
 
 var plans = map[string]plan{
 	"crash":  {zones: zones, entries: 6, workers: 15, cpu: 32000, play: playCrash},
-	"upkeep": {zones: zones, entries: 6, workers: 15, cpu: 32000, play: playUpkeep},
+	"upkeep": {zones: zones, entries: 6, workers: 30, cpu: 32000, play: playUpkeep},
+	"late":   {zones: zones, entries: 6, workers: 8, cpu: 32000, play: playLate},
 	"ends":   {zones: zones, entries: 6, workers: 9, cpu: 32000, play: playEnds},
 }
 
--- a/review/stand3/upkeep.go
+++ b/review/stand3/upkeep.go
@@ -9,14 +9,14 @@
 
 // The load, the waves and the disruption of the case.
 const (
-	upkeepJobsPerSecond = 11
-	upkeepTasks         = 6
-	upkeepCPU           = 4000
-	upkeepWork          = 1800 * time.Millisecond
-	upkeepRounds        = 6
-	upkeepRoundTime     = 13 * time.Second
-	upkeepMachines      = 7
-	upkeepAtOnce        = 4
+	upkeepJobInterval = 50 * time.Millisecond
+	upkeepTasks       = 6
+	upkeepCPU         = 4000
+	upkeepWork        = 1800 * time.Millisecond
+	upkeepRounds      = 6
+	upkeepRoundTime   = 13 * time.Second
+	upkeepMachines    = 14
+	upkeepAtOnce      = 8
 	// For cloudTime after the beginning of a wave answers of the service for machines take slowCloud, and of those to calls for
 	// upkeep the share lostCloud is lost.
 	cloudTime = 5 * time.Second
@@ -27,7 +27,7 @@
 )
 
 // playUpkeep plays a steady load with one wave after another. With trouble, the service for machines is slow at the beginning
-// of each wave and some of its answers are lost.
+// of each wave, and some of its answers are lost.
 func playUpkeep(s *stand) int {
 	random := rand.New(rand.NewPCG(s.seed, 1))
 	end := time.Now().Add(upkeepRounds * upkeepRoundTime)
@@ -57,7 +57,7 @@
 			s.submit(id, upkeepTasks, shape{CPU: upkeepCPU, WorkMS: upkeepWork.Milliseconds()},
 				map[string]any{"estimateMs": upkeepWork.Milliseconds(), "memMb": 1024}, until)
 		})
-		time.Sleep(time.Second / upkeepJobsPerSecond)
+		time.Sleep(upkeepJobInterval)
 	}
 	callers.Wait()
 	return s.twiceVerdict()
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -53,6 +53,8 @@
 	// entryLag is how long after its start a worker writes its entry.
 	entryLag time.Duration
 	cloud    cloudState
+	// late are the orders that get no answer.
+	late lateOrders
 	// twice are the starts of tasks that had another run at that time.
 	twice []string
 }
@@ -114,7 +116,7 @@
 	cpu                  int64
 	server               *http.Server
 	up, listed, inUpkeep bool
-	id                   string
+	id, nextID           string
 	born                 time.Time
 	seq                  int
 	fence, lease         int64
@@ -158,7 +160,11 @@
 	}
 	m.fleet.lives++
 	m.listed = false
-	m.id, m.born, m.up = fmt.Sprintf("i-%04d", m.fleet.lives), time.Now(), true
+	next := fmt.Sprintf("i-%04d", m.fleet.lives)
+	if m.nextID != "" {
+		next, m.nextID = m.nextID, ""
+	}
+	m.id, m.born, m.up = next, time.Now(), true
 	m.seq, m.fence, m.lease, m.lastEnd = 0, 0, 0, 0
 	m.runs, m.highest, m.ended, m.changed = map[string]*run{}, map[string]int64{}, nil, make(chan struct{})
 	m.unseen = map[int64]*doneEnd{}
@@ -197,7 +203,7 @@
 
 // end ends the present life; its entry is removed now, or after three heartbeats if the worker falls silent. mu must be held.
 func (m *machine) end(how string, silent bool) {
-	m.up = false
+	m.up, m.listed = false, false
 	_ = m.server.Close()
 	m.fleet.record.add("worker %s on %s ends (%s) with %d runs", m.id, m.name, how, len(m.runs))
 	m.runs = map[string]*run{}
@@ -206,20 +212,30 @@
 		m.fleet.store.put("servers", id, nil)
 		return
 	}
-	time.AfterFunc(3*heartbeat, func() { m.fleet.store.put("servers", id, nil) })
+	time.AfterFunc(3*heartbeat, func() {
+		m.fleet.mu.Lock()
+		defer m.fleet.mu.Unlock()
+		if m.id != id || !m.listed {
+			m.fleet.store.put("servers", id, nil)
+		}
+	})
 }
 
-// crash ends the worker of a machine without a word, and starts another one after a time.
-func (f *fleet) crash(m *machine, down time.Duration) {
+// crash ends the worker of a machine without a word. After a time it starts again under its id, or another one does.
+func (f *fleet) crash(m *machine, down time.Duration, sameID bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !m.up {
 		return
 	}
+	id := m.id
 	m.end("crash", true)
 	time.AfterFunc(down, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if sameID {
+			m.nextID = id
+		}
 		m.start()
 		f.record.add("worker %s on %s is up", m.id, m.name)
 	})
@@ -319,6 +335,11 @@
 		return b, false
 	}
 	m.fleet.mu.Lock()
+	if m.fleet.isHeld(m, b, r.URL.Path) {
+		m.fleet.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if !m.up || m.id != id {
 		m.fleet.mu.Unlock()
 		panic(http.ErrAbortHandler)
@@ -355,10 +376,18 @@
 	if !ok {
 		return
 	}
-	if x := m.runs[b.Task]; x != nil && x.number == b.Run {
-		m.done(w)
+	if reason := m.begin(b); reason != "" {
+		m.decline(w, reason)
 		return
 	}
+	m.done(w)
+}
+
+// begin begins a run, or returns why it does not; the fleet's mutex must be held.
+func (m *machine) begin(b orderBody) (reason string) {
+	if x := m.runs[b.Task]; x != nil && x.number == b.Run {
+		return ""
+	}
 	var s shape
 	if err := json.Unmarshal([]byte(b.Spec), &s); err != nil {
 		m.fleet.record.add("start of %s with another spec", b.Task)
@@ -369,16 +398,13 @@
 	}
 	switch {
 	case b.UntilMS < m.clock():
-		m.decline(w, "late")
-		return
+		return "late"
 	case b.Run <= m.highest[b.Task]:
 		m.extend(b.UntilMS)
-		m.decline(w, "old")
-		return
+		return "old"
 	case used+s.CPU > m.cpu:
 		m.extend(b.UntilMS)
-		m.decline(w, "room")
-		return
+		return "room"
 	}
 	m.extend(b.UntilMS)
 	m.fleet.record.add("run %s %d on %s begins", b.Task, b.Run, m.id)
@@ -386,7 +412,7 @@
 	h := m.fleet.task(b.Task)
 	h.starts = append(h.starts, time.Now())
 	m.runs[b.Task] = &run{number: b.Run, cpu: s.CPU, began: time.Now(), work: time.Duration(s.WorkMS) * time.Millisecond}
-	m.done(w)
+	return ""
 }
 
 func (m *machine) runStop(w http.ResponseWriter, r *http.Request, id string) {
