--- a/review/stand3/cloud.go
+++ b/review/stand3/cloud.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -14,9 +13,9 @@
 
 // cloudState is the state of the platform's service for machines; the fleet's mutex guards it.
 type cloudState struct {
-	// While the service is in trouble, its answers take delay, and a share of the calls for upkeep is carried out and gets none.
+	// While the service is in trouble, its answers take delay, and while lost is set calls for upkeep are carried out and get none.
 	delay time.Duration
-	lost  float64
+	lost  bool
 	// waves are the machines of each wave, done those of them that have had their upkeep.
 	waves map[int64][]string
 	done  map[string]bool
@@ -39,15 +38,15 @@
 func (f *fleet) trouble() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cloud.delay, rand.Float64() < f.cloud.lost
+	return f.cloud.delay, f.cloud.lost
 }
 
 // setTrouble begins or ends the trouble of the service for machines.
-func (f *fleet) setTrouble(delay time.Duration, lost float64) {
+func (f *fleet) setTrouble(delay time.Duration, lost bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cloud.delay, f.cloud.lost = delay, lost
-	f.record.add("service for machines: answers take %v more, a share of %.1f of those to calls for upkeep is lost", delay, lost)
+	f.record.add("service for machines: answers take %v more, those to calls for upkeep are lost: %v", delay, lost)
 }
 
 // cloudHandler serves the list of machines and the calls for upkeep. There is one pool, so that no machine can be moved.
--- a/review/stand3/late.go
+++ b/review/stand3/late.go
@@ -16,6 +16,8 @@
 	lateDown  = 4500 * time.Millisecond
 	// lateBy is when the order is carried out.
 	lateBy = 5 * time.Second
+	// lateEntryLag is how long after its start a worker writes its entry.
+	lateEntryLag = 800 * time.Millisecond
 	// lateRoundTime is the length of a round.
 	lateRoundTime = 21 * time.Second
 )
@@ -60,7 +62,7 @@
 // sent it is killed, and the worker crashes and comes back under its id.
 func playLate(s *stand) int {
 	s.fleet.mu.Lock()
-	s.fleet.entryLag = entryLag
+	s.fleet.entryLag = lateEntryLag
 	s.fleet.mu.Unlock()
 	for n := 1; n <= lateRounds; n++ {
 		began := time.Now()
--- a/review/stand3/upkeep.go
+++ b/review/stand3/upkeep.go
@@ -17,13 +17,13 @@
 	upkeepRoundTime   = 13 * time.Second
 	upkeepMachines    = 14
 	upkeepAtOnce      = 8
-	// For cloudTime after the beginning of a wave answers of the service for machines take slowCloud, and of those to calls for
-	// upkeep the share lostCloud is lost.
+	// For cloudTime after the beginning of a wave answers of the service for machines take slowCloud. By turns, those to calls for
+	// upkeep are lost for lostTime and not lost for lostTime.
 	cloudTime = 5 * time.Second
 	slowCloud = 500 * time.Millisecond
-	lostCloud = 0.5
-	// entryLag is how long after its start a worker writes its entry in the store.
-	entryLag = 800 * time.Millisecond
+	lostTime  = time.Second
+	// upkeepEntryLag is how long after its start a worker writes its entry in the store, less than its heartbeat.
+	upkeepEntryLag = 1400 * time.Millisecond
 )
 
 // playUpkeep plays a steady load with one wave after another. With trouble, the service for machines is slow at the beginning
@@ -33,7 +33,7 @@
 	end := time.Now().Add(upkeepRounds * upkeepRoundTime)
 	until := end.Add(finishTime)
 	s.fleet.mu.Lock()
-	s.fleet.entryLag = entryLag
+	s.fleet.entryLag = upkeepEntryLag
 	s.fleet.mu.Unlock()
 	var callers sync.WaitGroup
 	callers.Go(func() {
@@ -44,8 +44,11 @@
 				names = append(names, s.fleet.machines[i].name)
 			}
 			if s.trouble {
-				s.fleet.setTrouble(slowCloud, lostCloud)
-				time.AfterFunc(cloudTime, func() { s.fleet.setTrouble(0, 0) })
+				for t := time.Duration(0); t < cloudTime; t += lostTime {
+					lost := t/lostTime%2 == 0
+					time.AfterFunc(t, func() { s.fleet.setTrouble(slowCloud, lost) })
+				}
+				time.AfterFunc(cloudTime, func() { s.fleet.setTrouble(0, false) })
 			}
 			s.fleet.askUpkeep(int64(n+1), names, upkeepAtOnce, 26*time.Second)
 			time.Sleep(time.Until(began.Add(upkeepRoundTime)))
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -155,8 +155,13 @@
 // start begins a life of the machine; mu must be held.
 func (m *machine) start() {
 	l, err := net.Listen("tcp", m.address)
-	if err != nil {
-		panic(err)
+	for tries := 0; err != nil; tries++ {
+		if tries == 5 {
+			panic(err)
+		}
+		// A connection of another process may have taken the port.
+		m.address = freeAddress("127.0.0.1")
+		l, err = net.Listen("tcp", m.address)
 	}
 	m.fleet.lives++
 	m.listed = false
