--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -86,10 +86,10 @@
 	rec.add("case %s, seed %d, trouble %v", name, seed, s.trouble)
 	s.store.put("op", "config", config(1))
 	s.fleet = newFleet(s.store, rec, "work", p.zones, p.workers, p.cpu)
-	s.system = newSystem(program, dir, rec, p.zones, p.entries, s.store, serve(s.fleet.cloudHandler()))
-	defer s.system.stop()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	s.system = newSystem(program, dir, rec, p.zones, p.entries, s.store, serve(s.fleet.cloudHandler()))
+	defer s.system.stop()
 	go func() {
 		<-signals
 		s.system.stop()
