engine, leader: The store holds each start before it is sent

The leader that had sent an order to start was killed, its worker crashed, the next leader started the task on another worker 4.5 s later, and the order reached the worker's next incarnation, which executed it.

Cause: nothing of the former leader's starts was known. A wait of 4 s, and of one lease, stood for "none can still act", while an order may act 12 s after its sending.

Why it works: a start is in the store before it is sent (sched/intent, sched/engine/starts.go), until it is confirmed, declined or too old. A booked start that its worker's list lacks is repeated there, since that worker's next incarnation may still execute the former copy. While the store takes longer than 100 ms, starts of finite tasks are sent without a record once every peer has echoed a reply that says so; who takes over then, or knows nothing of the former leader, waits 16.5 s where a machine has no worker. Long-running tasks are always recorded and never wait for that. A worker that is down with a lingering start is called each second at its address.

--- a/internal/sched/engine/backlog_test.go
+++ b/internal/sched/engine/backlog_test.go
@@ -92,7 +92,7 @@
 		sc.SetShort(true)
 		// pass plans once, lets the workers confirm the starts and returns their number.
 		pass := func() int {
-			commands := sc.Commands()
+			commands := dispatch(sc)
 			for _, c := range commands {
 				sc.HandleOutcome(c, Applied, time.Now())
 			}
--- a/internal/sched/engine/candidates_test.go
+++ b/internal/sched/engine/candidates_test.go
@@ -48,7 +48,7 @@
 // startAll starts waiting tasks until no more fit, and confirms the starts; it returns their number.
 func startAll(sc *Scheduler) (n int) {
 	for {
-		commands := sc.Commands()
+		commands := dispatch(sc)
 		if len(commands) == 0 {
 			return n
 		}
@@ -96,7 +96,7 @@
 	const workers, jobs = 50, 300
 	sc := newFullPool(t, workers, jobs)
 	sc.comparisons = 0
-	if n := len(sc.Commands()); n != 0 {
+	if n := len(dispatch(sc)); n != 0 {
 		t.Fatalf("%d commands, want none", n)
 	}
 	// The steps have three needs, and the workers can be compared with each of them once.
@@ -113,7 +113,7 @@
 	sc.releaseRun(r)
 	sc.finishTask(s, r.key.Task.Index)
 	sc.comparisons = 0
-	if n := len(sc.Commands()); n != 1 {
+	if n := len(dispatch(sc)); n != 1 {
 		t.Fatalf("%d commands, want 1", n)
 	}
 	if sc.comparisons > 8*workers {
@@ -122,7 +122,7 @@
 }
 
 // placeWithoutBound is placeWaiting without the skipping of steps for which no worker has capacity.
-func placeWithoutBound(sc *Scheduler, p *pool, now time.Time) []Command {
+func placeWithoutBound(sc *Scheduler, p *pool, now time.Time) {
 	var workers, cordoned []*worker
 	for _, w := range sc.workers {
 		switch {
@@ -136,7 +136,6 @@
 	for _, list := range [][]*worker{workers, cordoned} {
 		slices.SortFunc(list, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
 	}
-	var commands []Command
 	for _, e := range sc.rankSteps(p, sc.waitingSteps(p, now), now) {
 		s, eligible := e.state, workers
 		if sc.queueOf(s.job).NeedsTicket {
@@ -148,24 +147,24 @@
 		}
 		eligible = sc.narrowToRack(s, eligible)
 		if s.spec.Gang {
-			commands = append(commands, sc.placeGang(s, newCandidates(work.Need{}), eligible, now)...)
+			sc.placeGang(s, newCandidates(work.Need{}), eligible, now)
 			continue
 		}
-		commands = append(commands, placeByScan(sc, s, eligible, now)...)
+		placeByScan(sc, s, eligible, now)
 		if s.spec.LongRunning && s.waiting > 0 && !sc.queueOf(s.job).NeedsTicket {
-			commands = append(commands, placeByScan(sc, s, cordoned, now)...)
+			placeByScan(sc, s, cordoned, now)
 		}
 	}
-	return commands
 }
 
 // placeByScan is placeTasks without the order of workers that finite tasks share.
-func placeByScan(sc *Scheduler, s *stepState, eligible []*worker, now time.Time) []Command {
+func placeByScan(sc *Scheduler, s *stepState, eligible []*worker, now time.Time) {
 	if s.isPacked() {
 		// Not all candidates are eligible, as far as placeTasks knows.
-		return sc.placeTasks(s, &candidates{workers: append(eligible[:len(eligible):len(eligible)], nil)}, eligible, now)
+		sc.placeTasks(s, &candidates{workers: append(eligible[:len(eligible):len(eligible)], nil)}, eligible, now)
+		return
 	}
-	return sc.placeTasks(s, newCandidates(work.Need{}), eligible, now)
+	sc.placeTasks(s, newCandidates(work.Need{}), eligible, now)
 }
 
 // appendTicketRequest appends the ticket request that ends a planning pass.
@@ -242,7 +241,9 @@
 		if !slices.IsSortedFunc(ranked, rankedStep.compare) {
 			t.Fatalf("steps are not in the order of their ranks: %v", ranked)
 		}
-		got, want := bounded.placeWaiting(bounded.pool("p"), now), placeWithoutBound(reference, reference.pool("p"), now)
+		bounded.placeWaiting(bounded.pool("p"), now)
+		placeWithoutBound(reference, reference.pool("p"), now)
+		got, want := recordStarts(bounded, map[string][]byte{}), recordStarts(reference, map[string][]byte{})
 		got, want = appendTicketRequest(bounded, got, now), appendTicketRequest(reference, want, now)
 		for _, list := range [][]Command{got, want} {
 			clearLeaseEnds(list)
@@ -292,7 +293,7 @@
 func BenchmarkFullPool(b *testing.B) {
 	sc := newFullPool(b, 300, 1500)
 	for b.Loop() {
-		sc.Commands()
+		dispatch(sc)
 	}
 }
 
@@ -300,7 +301,7 @@
 func BenchmarkFreedCapacity(b *testing.B) {
 	sc := newFullPool(b, 300, 1500)
 	for b.Loop() {
-		for _, c := range sc.Commands() {
+		for _, c := range dispatch(sc) {
 			if start, ok := c.(Start); ok {
 				sc.releaseRun(sc.workers[start.Worker].runs[start.Run])
 			}
@@ -317,7 +318,7 @@
 		w.Capacity = work.Need{CPU: 16000, Memory: 32000}
 	}
 	for b.Loop() {
-		for _, c := range sc.Commands() {
+		for _, c := range dispatch(sc) {
 			if start, ok := c.(Start); ok {
 				sc.HandleOutcome(c, Applied, time.Now())
 				sc.releaseRun(sc.workers[start.Worker].runs[start.Run])
@@ -374,7 +375,7 @@
 	sc := newTurn(t, workers, 1500)
 	endSome(sc, freed)
 	sc.comparisons = 0
-	commands := sc.Commands()
+	commands := dispatch(sc)
 	if len(commands) < freed/2 {
 		t.Fatalf("%d starts after %d tasks have ended", len(commands), freed)
 	}
@@ -391,7 +392,7 @@
 		b.StopTimer()
 		endSome(sc, 60)
 		b.StartTimer()
-		commands := sc.Commands()
+		commands := dispatch(sc)
 		b.StopTimer()
 		for _, c := range commands {
 			sc.HandleOutcome(c, Applied, time.Now())
--- a/internal/sched/engine/capacity_test.go
+++ b/internal/sched/engine/capacity_test.go
@@ -36,7 +36,7 @@
 						t.Fatal(err)
 					}
 					sc.HandleCommit(b)
-					return len(sc.Commands())
+					return len(dispatch(sc))
 				}
 				if n := started("00000000000000a1"); n != 1 {
 					t.Errorf("%d starts by current reports, want 1", n)
--- a/internal/sched/engine/contention_test.go
+++ b/internal/sched/engine/contention_test.go
@@ -349,7 +349,7 @@
 				c.attempt(retry{id: i, customer: customer, attempt: 1})
 			}
 			store(b, c.sc)
-			c.sc.Commands()
+			dispatch(c.sc)
 			p := c.sc.pools["p"]
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/sched/engine/crashreply_test.go
+++ b/internal/sched/engine/crashreply_test.go
@@ -39,7 +39,7 @@
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			sc.Tick()
-			for _, c := range sc.Commands() {
+			for _, c := range dispatch(sc) {
 				s, ok := c.(Start)
 				if !ok {
 					continue
--- a/internal/sched/engine/crashsilent_test.go
+++ b/internal/sched/engine/crashsilent_test.go
@@ -31,7 +31,7 @@
 		starts := 0
 		for range 100 {
 			sent := time.Now()
-			for _, c := range sc.Commands() {
+			for _, c := range dispatch(sc) {
 				if _, ok := c.(Start); ok {
 					starts++
 				}
--- a/internal/sched/engine/ended.go
+++ b/internal/sched/engine/ended.go
@@ -82,8 +82,9 @@
 		if current.Worker != "" {
 			end = endOtherWorker
 		}
-		if sc.inherited[id] != nil && !end.replaced && sent.Before(sc.formerCallsEnd) {
+		if sc.inherited[id] != nil && !end.replaced && sent.Before(sc.unrecordedUntil) {
 			// A start of the former leader may reach the next incarnation, and which ones it has sent is not known.
+			w.onlyFinite = true
 			continue
 		}
 		if sc.inherited[id] != nil || !w.unresponsiveSince.IsZero() && w.unresponsiveSince.Before(sent) {
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -46,9 +46,6 @@
 // clockDrift is the fraction by which a worker's clock may run slower than the local one, as the platform guarantees.
 const clockDrift = 0.02
 
-// formerCallTime is how long a call takes at most that a former leader or one of its relays still sends.
-const formerCallTime = 1500 * time.Millisecond
-
 // leaseMargin covers the rounding of the worker's clock to milliseconds and the time a worker needs to end a run.
 const leaseMargin = 250 * time.Millisecond
 
@@ -107,8 +104,10 @@
 	inherited map[work.WorkerID]*worker
 	// inheritedUntil is when every lease that a former leader sent has certainly expired.
 	inheritedUntil time.Time
-	// formerCallsEnd is when the former leader and its relays have certainly ended their calls to workers.
-	formerCallsEnd time.Time
+	// unrecordedUntil is until when a start may be executed that a former leader has not recorded; zero if it recorded all.
+	unrecordedUntil time.Time
+	// starts is the record of the starts that may still be executed.
+	starts startRecord
 	// fences are the fencing tokens of the term; awaitingFence are the workers that get no calls until there is another one.
 	fences        fences
 	awaitingFence []*worker
@@ -190,7 +189,7 @@
 		index: newWorkerIndex(), pools: map[string]*pool{},
 		customers: map[string]*customer{}, runTimes: newRunTimes(o), overruns: map[string]*overrunModel{}, dirty: map[work.JobID]*job{},
 		arrived: map[string]float64{}, inherited: map[work.WorkerID]*worker{}, dirtyWorkers: map[work.WorkerID]bool{},
-		stopping: map[work.RunKey]*run{}, pending: newPendingStarts(),
+		stopping: map[work.RunKey]*run{}, pending: newPendingStarts(), starts: startRecord{open: map[work.RunKey]*run{}},
 	}
 }
 
--- a/internal/sched/engine/formeraddress_test.go
+++ b/internal/sched/engine/formeraddress_test.go
@@ -33,7 +33,7 @@
 		sc.HandleOutcome(Stop{Worker: start.Worker, Address: renewals[start.Worker].Address, Run: start.Run}, Replaced, time.Now())
 		time.Sleep(100 * time.Millisecond)
 		sc.Tick()
-		for _, c := range sc.Commands() {
+		for _, c := range dispatch(sc) {
 			t.Errorf("%+v beside %+v", c, start)
 		}
 	})
--- a/internal/sched/engine/formerlease_test.go
+++ b/internal/sched/engine/formerlease_test.go
@@ -55,7 +55,7 @@
 				{Run: runs[1], Percent: 100}},
 			Ended: []work.End{{Number: 1, Run: runs[2], How: work.Done}}}, time.Now())
 		sent := time.Now()
-		for _, c := range sc.Commands() {
+		for _, c := range dispatch(sc) {
 			if _, ok := c.(Stop); !ok {
 				t.Fatalf("unexpected command %+v", c)
 			}
@@ -71,7 +71,7 @@
 			}
 			sc.HandleRenewalFailure(o, NoReply)
 			sc.Tick()
-			for _, c := range sc.Commands() {
+			for _, c := range dispatch(sc) {
 				if s, ok := c.(Start); ok && time.Now().Before(leasesEnd) {
 					t.Fatalf("%s started again %v after the takeover, leases may last until %v", s.Run.Task, time.Since(sent),
 						leasesEnd.Sub(sent))
--- a/internal/sched/engine/fuzz_test.go
+++ b/internal/sched/engine/fuzz_test.go
@@ -44,7 +44,7 @@
 	}
 	keep()
 	task := work.TaskID{Job: "00000000000000a1"}
-	sc.Commands()
+	dispatch(sc)
 	sc.HandleRenewal(Renewal{Worker: "w"}, work.RenewalReply{Incarnation: 1,
 		Ended: []work.End{{Number: 1, Run: work.RunKey{Task: task, Number: 2001}, How: work.TaskFailed, Checkpoint: "c"}}}, time.Now())
 	keep()
@@ -64,7 +64,7 @@
 	sc.HandleRenewal(Renewal{Worker: "w"}, work.RenewalReply{Incarnation: 1}, time.Now())
 	for range 3 {
 		sc.Tick()
-		for _, c := range sc.Commands() {
+		for _, c := range dispatch(sc) {
 			sc.HandleOutcome(c, Applied, time.Now())
 		}
 		sc.Demands()
--- a/internal/sched/engine/giveup.go
+++ b/internal/sched/engine/giveup.go
@@ -27,7 +27,11 @@
 func (sc *Scheduler) giveUpRuns(w *worker, end workerEnd) {
 	now := time.Now()
 	for _, r := range w.runs {
-		if !r.lingers {
+		if r.phase == startPlanned {
+			sc.releaseRun(r)
+			continue
+		}
+		if !r.lingers && !r.inherited {
 			sc.rememberGivenUp(r, end.reason)
 		}
 		if end.replaced || !r.lingers && !sc.mayLinger(r, end.noneAt, now) {
--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -136,8 +136,10 @@
 type phase int
 
 const (
+	// startPlanned: the start waits until the store holds it.
+	startPlanned phase = iota
 	// startSent: the start was issued, its reply is outstanding.
-	startSent phase = iota
+	startSent
 	// active: the worker confirmed the start or listed the run.
 	active
 	// startUnknown: the start got no reply and may still be executed, or was declined because there is a newer leader.
@@ -153,6 +155,8 @@
 	phase     phase
 	// adopted means that a former leader started the run, at a time that is not known.
 	adopted bool
+	// inherited means that a former leader recorded the start, and no list has shown the run yet.
+	inherited bool
 	// repeated means that the start was sent more than once, copiesUnknown that it may have been: its outcome is outstanding or
 	// was lost with its relay.
 	repeated, copiesUnknown bool
--- a/internal/sched/engine/lateack_test.go
+++ b/internal/sched/engine/lateack_test.go
@@ -26,7 +26,7 @@
 		}
 		// The former incarnation's first end is stored, and acknowledged by a renewal without a reply.
 		submit("00000000000000a1")
-		first, ok := sc.Commands()[0].(Start)
+		first, ok := dispatch(sc)[0].(Start)
 		if !ok {
 			t.Fatal("no start")
 		}
@@ -62,7 +62,7 @@
 			}
 			store(t, sc)
 			sc.Tick()
-			for _, c := range sc.Commands() {
+			for _, c := range dispatch(sc) {
 				if s, ok := c.(Start); ok {
 					if done {
 						t.Fatalf("%s started again, run %d, %v after its end was acknowledged", s.Run.Task, s.Run.Number, time.Since(sent))
@@ -98,7 +98,7 @@
 				t.Fatal(err)
 			}
 			store(t, sc)
-			s, ok := sc.Commands()[0].(Start)
+			s, ok := dispatch(sc)[0].(Start)
 			if !ok {
 				t.Fatal("no start")
 			}
@@ -130,7 +130,7 @@
 					time.Now())
 			}
 			store(t, sc)
-			for _, c := range sc.Commands() {
+			for _, c := range dispatch(sc) {
 				if s, ok := c.(Start); ok {
 					t.Fatalf("%s started again, run %d, %v after its start without a reply", s.Run.Task, s.Run.Number, time.Since(began))
 				}
--- a/internal/sched/engine/latecalls_test.go
+++ b/internal/sched/engine/latecalls_test.go
@@ -218,6 +218,8 @@
 }
 
 func (l *lateTrial) commit() {
+	writeStarts(l.sc, l.rows)
+	l.sc.ConfirmStarts()
 	for l.sc.Dirty() {
 		b, err := l.sc.Batch()
 		if err != nil {
@@ -311,7 +313,7 @@
 	l.renewAll()
 	l.commit()
 	l.sc.Tick()
-	for _, c := range l.sc.Commands() {
+	for _, c := range append(l.sc.Commands(), recordStarts(l.sc, l.rows)...) {
 		l.send(c)
 	}
 	time.Sleep(10 * time.Millisecond)
--- a/internal/sched/engine/lateend_test.go
+++ b/internal/sched/engine/lateend_test.go
@@ -16,7 +16,7 @@
 		t.Fatal(err)
 	}
 	store(t, sc)
-	start, ok := sc.Commands()[0].(Start)
+	start, ok := dispatch(sc)[0].(Start)
 	if !ok {
 		t.Fatal("no start")
 	}
@@ -39,7 +39,7 @@
 }
 
 func starts(sc *Scheduler) (n int) {
-	for _, c := range sc.Commands() {
+	for _, c := range dispatch(sc) {
 		if _, ok := c.(Start); ok {
 			n++
 		}
--- a/internal/sched/engine/overload_test.go
+++ b/internal/sched/engine/overload_test.go
@@ -80,7 +80,7 @@
 		o.sc.HandleRenewal(Renewal{Worker: w.ID}, reply, now)
 	}
 	store(o.t, o.sc)
-	for _, c := range o.sc.Commands() {
+	for _, c := range dispatch(o.sc) {
 		o.sc.HandleOutcome(c, Applied, now)
 		if s, ok := c.(Start); ok {
 			// Run times differ by half from their estimate, and the start and the report take time too.
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -5,14 +5,12 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
 	"github.com/yuccahaven/yuccahaven/internal/sched/fair"
 )
 
-// Commands returns the commands that are due now and records them as issued: the caller reports each one's result with
-// HandleOutcome or HandleTickets.
+// Commands plans new starts, which RecordedStarts returns once the store holds them, and returns the other commands that are due
+// now and records them as issued: the caller reports each one's result with HandleOutcome or HandleTickets.
 func (sc *Scheduler) Commands() []Command {
 	now := time.Now()
 	sc.evict(now)
@@ -26,7 +24,7 @@
 		if len(p.ready) == 0 {
 			p.releaseReserved()
 		} else if sc.pending.allow() {
-			commands = append(commands, sc.placeWaiting(p, now)...)
+			sc.placeWaiting(p, now)
 		}
 	}
 	sc.pending.held = !sc.pending.allow()
@@ -37,11 +35,11 @@
 }
 
 // placeWaiting starts waiting tasks of a pool in the order of their rank and notes which steps may need tickets.
-func (sc *Scheduler) placeWaiting(p *pool, now time.Time) []Command {
+func (sc *Scheduler) placeWaiting(p *pool, now time.Time) {
 	waiting := sc.waitingSteps(p, now)
 	if len(waiting) == 0 {
 		p.releaseReserved()
-		return nil
+		return
 	}
 	least := leastNeed(waiting)
 	workers, cordoned := newCandidates(least), newCandidates(least)
@@ -55,9 +53,8 @@
 		}
 	}
 	if !sc.testDue(p, now) && !slices.ContainsFunc(waiting, func(s *stepState) bool { return sc.mayPlace(s, workers, cordoned) }) {
-		return nil
+		return
 	}
-	var commands []Command
 	late := 0
 	ranked := sc.rankSteps(p, waiting, now)
 	sc.reserveWorkers(p, ranked, workers, now)
@@ -88,16 +85,15 @@
 		}
 		eligible = sc.narrowToRack(s, eligible)
 		if s.spec.Gang {
-			commands = append(commands, sc.placeGang(s, workers, eligible, now)...)
+			sc.placeGang(s, workers, eligible, now)
 			continue
 		}
-		commands = append(commands, sc.placeTasks(s, workers, eligible, now)...)
+		sc.placeTasks(s, workers, eligible, now)
 		if s.spec.LongRunning && s.waiting > 0 && !sc.queueOf(s.job).NeedsTicket {
 			// A long-running task may start on a cordoned worker rather than wait while no other worker has capacity.
-			commands = append(commands, sc.placeTasks(s, cordoned, cordoned.workers, now)...)
+			sc.placeTasks(s, cordoned, cordoned.workers, now)
 		}
 	}
-	return commands
 }
 
 // leastNeed returns the smallest need of the tasks of some steps in each dimension.
@@ -287,6 +283,9 @@
 	}
 	pool := sc.poolOf(s.job)
 	for _, w := range sc.inherited {
+		if w.onlyFinite && s.spec.LongRunning {
+			continue
+		}
 		if w.Pool == pool || w.Pool == s.job.settings.Pool || slices.Contains(s.job.otherPools, w.Pool) {
 			return true
 		}
@@ -336,8 +335,7 @@
 
 // placeTasks places waiting tasks of a step one by one until none fits or the customer's cap is reached. The eligible
 // workers are among the candidates.
-func (sc *Scheduler) placeTasks(s *stepState, c *candidates, eligible []*worker, now time.Time) []Command {
-	var commands []Command
+func (sc *Scheduler) placeTasks(s *stepState, c *candidates, eligible []*worker, now time.Time) {
 	packed := s.isPacked() && len(eligible) == len(c.workers)
 	for i := range s.tasks {
 		t := &s.tasks[i]
@@ -364,16 +362,15 @@
 		if w == nil {
 			break
 		}
-		commands = append(commands, sc.startRun(s, i, w, sc.nextRunNumber(t.lastNumber), now))
+		sc.planRun(s, i, w, sc.nextRunNumber(t.lastNumber), now)
 		c.noteStart(w)
 	}
-	return commands
 }
 
 // placeGang places all tasks of a gang or none; none while one of them has a run.
-func (sc *Scheduler) placeGang(s *stepState, c *candidates, workers []*worker, now time.Time) []Command {
+func (sc *Scheduler) placeGang(s *stepState, c *candidates, workers []*worker, now time.Time) {
 	if s.waiting != len(s.tasks) || !sc.withinCap(s, len(s.tasks)) {
-		return nil
+		return
 	}
 	workers = sc.gangWorkers(s, workers, now)
 	chosen := make([]*worker, len(s.tasks))
@@ -405,15 +402,13 @@
 		}
 	}
 	if slices.Contains(chosen, nil) {
-		return nil
+		return
 	}
 	number := sc.nextRunNumber(s.gangNumber)
-	var commands []Command
 	for i, w := range chosen {
-		commands = append(commands, sc.startRun(s, i, w, number, now))
+		sc.planRun(s, i, w, number, now)
 		c.noteStart(w)
 	}
-	return commands
 }
 
 // withinCap reports whether a number of further tasks of a step keeps its customer within the cap.
@@ -425,17 +420,16 @@
 	return s.job.owner.usage.Plus(s.spec.Need.Times(count)).WithinLimit(c.Cap)
 }
 
-// startRun reserves what a run needs and returns its start command, which also extends the worker's lease.
-func (sc *Scheduler) startRun(s *stepState, index int, w *worker, number int64, now time.Time) Command {
+// planRun reserves what a run needs and has its start recorded.
+func (sc *Scheduler) planRun(s *stepState, index int, w *worker, number int64, now time.Time) {
 	t := &s.tasks[index]
 	t.lastNumber = number
 	s.gangNumber = max(s.gangNumber, number)
 	r := &run{
-		key: work.RunKey{Task: s.task(index), Number: number}, stepState: s, worker: w, phase: startSent,
+		key: work.RunKey{Task: s.task(index), Number: number}, stepState: s, worker: w, phase: startPlanned,
 		need: s.need, charge: s.spec.Need, startedAt: now, phaseSince: now, throttle: 100,
-		lateStart: w.cordoned, copiesUnknown: true, fence: sc.fence(w),
+		lateStart: w.cordoned,
 	}
-	w.fenceUsed = true
 	t.runs = append(t.runs, r)
 	sc.pending.issued[r.key] = now
 	if len(w.runs) == 0 {
@@ -447,14 +441,6 @@
 	sc.addRun(r)
 	p := sc.pool(w.Pool)
 	p.longestEstimate = max(p.longestEstimate, sc.estimateFor(&s.job.Job, s.spec))
-	sc.noteFirstStart(s.job, now)
-	sc.noteEstimatedEnd(s, now)
-	s.job.started = true
 	sc.isolate(r)
-	sc.log.Info("engine: starting run", zap.Stringer("task", r.key.Task), zap.Int64("run", number),
-		zap.String("worker", string(w.ID)), zap.Int64("config", sc.config.Version), zap.Int64("free", w.free().CPU),
-		zap.Duration("seen", now.Sub(w.clockReadAt)), zap.Duration("slack", s.job.deadline.Sub(now)))
-	ticket, _ := s.ticket(w.ID, now)
-	return Start{Ticket: ticket.Text, Worker: w.ID, Address: w.Address, Run: r.key, Spec: s.job.Spec, Fence: r.fence,
-		LeaseEnd: w.extendLease(sc.options.Lease), Checkpoint: s.checkpointed(index).checkpoint}
+	sc.planStart(r)
 }
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -66,10 +66,15 @@
 // if none is needed.
 func (sc *Scheduler) NextRenewal(id work.WorkerID) (Renewal, time.Duration, bool) {
 	w, ok := sc.workers[id]
-	if !ok || w.ended || !sc.hasFence(w) {
+	if !ok || w.ended && !w.holdsOnlyLingering() || !sc.hasFence(w) {
 		return Renewal{}, 0, false
 	}
 	o := Renewal{Worker: id, Address: w.Address, Incarnation: w.Incarnation, Fence: sc.fence(w)}
+	if w.ended {
+		// The next incarnation executes late starts until it has received a call.
+		o.Direct = true
+		return o, min(unresponsiveBackoff*time.Duration(w.failures), maxUnresponsiveBackoff), true
+	}
 	if w.responsive() && w.confirmed {
 		// Ends are numbered anew after a restart, and a worker that does not reply may have restarted under its id.
 		o.AckedEnd = w.ackedEnd
@@ -173,6 +178,7 @@
 	switch w.outcomeAt(o.Address, result) {
 	case Replaced:
 		sc.markCrashed(w, endReplaced)
+		sc.releaseAllLingering(w, endReplaced.reason)
 		return
 	case RelayLost, Withheld:
 		return
@@ -193,7 +199,7 @@
 	if !ok {
 		return
 	}
-	if former := reply.Incarnation != 0 && reply.Incarnation < w.Incarnation; former || w.ended {
+	if former := reply.Incarnation != 0 && reply.Incarnation < w.Incarnation; former || w.ended && reply.Incarnation <= w.Incarnation {
 		// What the reply says of the worker does not apply any more, but ends stay ends.
 		sc.handleLateEnds(w, reply.Ended)
 		return
@@ -261,6 +267,9 @@
 			r.phase = active
 			r.phaseSince = time.Now()
 		}
+		if r.inherited {
+			r.inherited, r.adopted, r.throttle = false, true, a.Percent
+		}
 		r.fence, r.lingers = o.Fence, false
 		sc.keepStartedRun(r)
 		r.listedAt = sent
@@ -273,11 +282,11 @@
 		return
 	}
 	for key, r := range w.runs {
-		if present[key] || r.phaseSince.After(sent) || r.phase == startSent {
+		if present[key] || r.phaseSince.After(sent) || r.phase == startSent || r.phase == startPlanned {
 			// The reply may be older than the start of a run that it does not list.
 			continue
 		}
-		if r.fence < o.Fence {
+		if r.fence < o.Fence && (r.lingers || !r.inherited) {
 			sc.releaseLingering(r, "declined by a new incarnation")
 			continue
 		}
--- a/internal/sched/engine/restore.go
+++ b/internal/sched/engine/restore.go
@@ -50,8 +50,8 @@
 		}
 	}
 	// A former leader may still extend leases until its authority ends.
-	sc.formerCallsEnd = time.Now().Add(sc.options.Authority).Add(formerCallTime)
 	sc.inheritedUntil = time.Now().Add(sc.options.Authority).Add(sc.options.leaseTime())
+	sc.restoreStarts(items)
 }
 
 func (sc *Scheduler) restoreJob(i table.Item) {
--- a/internal/sched/engine/runtimes_test.go
+++ b/internal/sched/engine/runtimes_test.go
@@ -82,7 +82,7 @@
 // start starts the task that waits.
 func (r *runTimesTrial) start() Start {
 	r.t.Helper()
-	commands := r.sc.Commands()
+	commands := dispatch(r.sc)
 	if len(commands) != 1 {
 		r.t.Fatalf("commands: %v", commands)
 	}
--- a/internal/sched/engine/script_test.go
+++ b/internal/sched/engine/script_test.go
@@ -71,7 +71,7 @@
 // run executes one command of a script. "orders" lists the commands that are due and, with "carried", reports them all
 // as applied, "settle" reports the outcome of one, sent a time "ago"; "next" prepares a renewal, "look" and "unanswered" deliver a reply
 // to it, with "born" one of that incarnation, or none, "advise" replies to the last ticket request; "ready" lets every
-// worker report empty run lists and commits a batch; "confirmed" confirms leadership as of now, before the first of them
+// worker report empty run lists and commits a batch; "takeover" replaces the scheduler with that of the next leader, "unrecorded" by one that must assume starts without a record; "confirmed" confirms leadership as of now, before the first of them
 // leases expire unconditionally; "machines" delivers a list of machines, "NAME worker=ID" on each line; "hold" cordons a worker, "close" closes it, "due" names the workers to be maintained soon, "out" evacuates a zone.
 func (s *script) run(d *datadriven.TestData) string {
 	switch d.Cmd {
@@ -99,8 +99,11 @@
 		return s.commit()
 	case "takeover":
 		s.takeOver()
+		if d.HasArg("unrecorded") {
+			s.scheduler.AssumeUnrecordedStarts()
+		}
 	case "orders":
-		s.commands = s.scheduler.Commands()
+		s.commands = append(s.scheduler.Commands(), recordStarts(s.scheduler, s.store)...)
 		return s.listCommands(d.HasArg("carried"))
 	case "settle":
 		return s.handleOutcome(d)
@@ -291,10 +294,14 @@
 		names = append(names, w.Key)
 	}
 	slices.Sort(names)
+	writeStarts(s.scheduler, s.store)
 	return strings.Join(names, "\n")
 }
 
-func (s *script) confirmBatch() { s.scheduler.HandleCommit(s.batch) }
+func (s *script) confirmBatch() {
+	s.scheduler.HandleCommit(s.batch)
+	s.scheduler.ConfirmStarts()
+}
 
 func (s *script) commit() string {
 	names := s.takeBatch()
--- a/internal/sched/engine/ticket_test.go
+++ b/internal/sched/engine/ticket_test.go
@@ -49,7 +49,7 @@
 				calls = calls[1:]
 				replyAt = time.Now().Add(callTime)
 			}
-			for _, c := range sc.Commands() {
+			for _, c := range dispatch(sc) {
 				switch c := c.(type) {
 				case TicketRequest:
 					if len(calls) == 0 {
--- a/internal/sched/engine/unknown.go
+++ b/internal/sched/engine/unknown.go
@@ -19,6 +19,10 @@
 
 // resolveStart settles a start of unknown outcome whose run is missing from a list that its worker sent later.
 func (sc *Scheduler) resolveStart(r *run) {
+	if r.inherited && !sc.knowsWorkers {
+		// Whether it may still start is not known yet; the next list of the worker decides again.
+		return
+	}
 	if sc.mayStillStart(r, time.Now()) {
 		sc.repeats = append(sc.repeats, r)
 		return
--- a/internal/sched/engine/usage_test.go
+++ b/internal/sched/engine/usage_test.go
@@ -37,7 +37,7 @@
 		t.Fatal(err)
 	}
 	store(t, sc)
-	start, ok := sc.Commands()[0].(Start)
+	start, ok := dispatch(sc)[0].(Start)
 	if !ok {
 		t.Fatal("no start")
 	}
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -19,6 +19,9 @@
 	// confirmed means that the worker has reported its run lists under this term's fencing token, so that it rejects
 	// commands of former leaders.
 	confirmed bool
+	// onlyFinite means that of the runs that a former leader may have started on an inherited worker only those of finite tasks
+	// may still exist.
+	onlyFinite bool
 	// inUse means that tasks may run on the worker, inUseStored that the store has a record of that.
 	inUse, inUseStored bool
 	// describedIncarnation is the incarnation that reported the worker's labels and capacity; 0 if unknown.
@@ -400,7 +403,9 @@
 	sc.logErrors(now)
 	for id, w := range sc.workers {
 		if sc.mayGiveUp(w, now) {
-			sc.expireLeases(w, now)
+			if w.onlyFinite = sc.inherited[id] != nil && sc.HasUnrecordedStarts(); !w.onlyFinite {
+				sc.expireLeases(w, now)
+			}
 		}
 		sc.expireLingering(w, now)
 		if sc.isGone(w, now) {
--- a/internal/serve/host/host.go
+++ b/internal/serve/host/host.go
@@ -88,6 +88,7 @@
 func New(o Options) *Host {
 	h := &Host{Options: o, speed: speed.NewMonitor(o.Registry, o.Log)}
 	o.Leader.ElectionDelay = h.currentElectionDelay
+	o.Leader.StartsRecorded = h.startsRecorded
 	o.Leader.Zone = o.Zone
 	o.Leader.Cores = h.usage.cores
 	o.Leader.Delay = h.speed.Delay
@@ -98,6 +99,12 @@
 // currentElectionDelay returns the election delay at the present speed of the process.
 func (h *Host) currentElectionDelay() time.Duration { return h.ElectionDelay(h.speed.Slowdown()) }
 
+// startsRecorded reports whether the store holds all starts of the leader of a term, as far as that leader has told this process.
+func (h *Host) startsRecorded(term int64) bool {
+	r := h.router.Load()
+	return r != nil && r.StartsRecorded(term)
+}
+
 // Run serves until the context ends, and then answers the requests in flight within the grace period. It returns an
 // error at once if it can't listen on an address or one of its HTTP servers fails.
 func (h *Host) Run(ctx context.Context) error {
--- a/internal/serve/leader/commands.go
+++ b/internal/serve/leader/commands.go
@@ -44,11 +44,12 @@
 	var commands []engine.Command
 	if !s.steppingDown {
 		commands = s.scheduler.Commands()
-		s.startRate.add(starts(commands))
 	}
-	delays := s.scheduler.TakeStartDelays()
+	planned := s.scheduler.HasPlannedStarts()
 	s.mu.Unlock()
-	s.observeStarts(delays)
+	if planned {
+		wake(s.commitWake)
+	}
 	now := time.Now()
 	s.work.passes.Add(1)
 	s.work.planning.Add(int64(now.Sub(began)))
@@ -61,19 +62,34 @@
 		}
 	}
 	s.send(ctx, orders)
-	// A run on a worker that had none calls for a renewal.
-	wake(s.renewalWake)
+	s.sendStarts(ctx)
 }
 
-// starts returns the number of starts among commands.
-func starts(commands []engine.Command) int {
-	n := 0
-	for _, c := range commands {
-		if _, ok := c.(engine.Start); ok {
-			n++
+// sendStarts sends the starts that the store holds.
+func (s *session) sendStarts(ctx context.Context) {
+	if !s.hasAuthority() {
+		return
+	}
+	s.mu.Lock()
+	var starts []engine.Command
+	if !s.steppingDown {
+		if s.service.peersKnowUnrecorded() {
+			s.scheduler.SendUnrecorded()
 		}
+		starts = s.scheduler.RecordedStarts()
+		s.startRate.add(len(starts))
 	}
-	return n
+	delays := s.scheduler.TakeStartDelays()
+	s.mu.Unlock()
+	s.observeStarts(delays)
+	now := time.Now()
+	orders := make([]relay.Order, 0, len(starts))
+	for _, c := range starts {
+		orders = append(orders, relay.Order{Command: c, Sent: now})
+	}
+	s.send(ctx, orders)
+	// A run on a worker that had none calls for a renewal.
+	wake(s.renewalWake)
 }
 
 // authorize requests tickets for one step from the authorizer.
--- a/internal/serve/leader/export_test.go
+++ b/internal/serve/leader/export_test.go
@@ -1,6 +1,11 @@
 package leader
 
-import "github.com/yuccahaven/yuccahaven/internal/plan/cycle"
+import (
+	"testing"
+
+	"github.com/yuccahaven/yuccahaven/internal/plan/cycle"
+	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+)
 
 // The bounds of authority, for tests.
 const (
@@ -21,3 +26,14 @@
 	defer ss.mu.Unlock()
 	return ss.cycles.model.Profile(pool)
 }
+
+// dispatch plans and records starts and returns all commands, as with a store that answers at once.
+func dispatch(t *testing.T, sc *engine.Scheduler) []engine.Command {
+	t.Helper()
+	commands := sc.Commands()
+	if _, err := sc.StartWrites(); err != nil {
+		t.Fatal(err)
+	}
+	sc.ConfirmStarts()
+	return append(commands, sc.RecordedStarts()...)
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -59,6 +59,9 @@
 	Succession bool
 	// Loaded is called with Succession when this process, which leads in a term, has loaded the stored state; it may be nil.
 	Loaded func(term int64)
+	// StartsRecorded reports whether the store holds every start that the leader of a term has sent and a worker may still
+	// execute, as far as that leader has told this process; nil means that it can't tell.
+	StartsRecorded func(term int64) bool
 	// Zone is this instance's availability zone.
 	Zone string
 	// Contention turns on the refusal of jobs that their pool can't hold; see docs/design/contention.md.
@@ -94,6 +97,9 @@
 	leadership *elect.Leadership
 	// endedTerm is the last term in which this process led and no longer does.
 	endedTerm int64
+	// unrecordedSince is since when, in the present or last term, a worker may execute a start that the store does not hold; zero
+	// if none may.
+	unrecordedSince time.Time
 	// heartbeats holds the last heartbeat of each peer, by the peer's name.
 	heartbeats map[string]heartbeat
 	designated designation
@@ -125,6 +131,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := time.Now()
+	recorded := s.formerStartsRecorded(l.Term())
 	s.setSession(nil, l)
 	defer s.setSession(nil, nil)
 	items, err := s.load(ctx, l)
@@ -139,12 +146,16 @@
 	}
 	ss := newSession(s, l, rows)
 	ss.scheduler.Restore(items)
+	if !recorded {
+		ss.scheduler.AssumeUnrecordedStarts()
+	}
 	ss.restoreWaves(items)
 	ss.operations.restore(items)
 	ss.cycles.restore(items)
 	ss.applyRules()
 	s.Log.Info("leader: stored state loaded", zap.Int("rows", len(items)), zap.Int("logRows", rows.Rows()), zap.Duration("took", time.Since(began)),
-		zap.Int64("term", l.Term()))
+		zap.Int64("term", l.Term()), zap.Bool("startsRecorded", recorded))
+	s.setUnrecorded(!recorded)
 	s.setSession(ss, l)
 	if s.Succession && s.Loaded != nil {
 		s.Loaded(l.Term())
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccahaven/yuccahaven/internal/plat/table"
 	"github.com/yuccahaven/yuccahaven/internal/sched/engine"
+	"github.com/yuccahaven/yuccahaven/internal/sched/intent"
 	"github.com/yuccahaven/yuccahaven/internal/state/elect"
 	"github.com/yuccahaven/yuccahaven/internal/state/rowlog"
 )
@@ -56,7 +57,7 @@
 	var confirming sync.WaitGroup
 	confirming.Go(func() { s.confirmDuringLoad(readCtx, fail, l) })
 	x := &loader{service: s, leadership: l, fail: fail, places: make(chan struct{}, loadReaders)}
-	prefixes := []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, rowlog.Prefix, prefixWave, prefixOperation}
+	prefixes := []string{engine.PrefixJob, engine.PrefixRun, engine.PrefixWorker, rowlog.Prefix, prefixWave, prefixOperation, intent.Prefix}
 	if s.Options.Scheduler.RunTimes {
 		prefixes = append(prefixes, engine.PrefixLearn)
 	}
--- a/internal/serve/leader/moves_test.go
+++ b/internal/serve/leader/moves_test.go
@@ -109,7 +109,7 @@
 			operations: map[string]*operation{"m": op}}
 		expect := func(when string, starts int) {
 			time.Sleep(busyBackoff)
-			if c := scheduler.Commands(); len(c) != starts {
+			if c := dispatch(t, scheduler); len(c) != starts {
 				t.Errorf("%s: %d starts, want %d", when, len(c), starts)
 			}
 		}
@@ -163,7 +163,7 @@
 		time.Sleep(time.Second)
 		m.machines, m.listedAt = map[string]Machine{}, time.Now()
 		m.finishOperations()
-		if c := scheduler.Commands(); len(m.operations) != 0 || len(c) != 1 {
+		if c := dispatch(t, scheduler); len(m.operations) != 0 || len(c) != 1 {
 			t.Errorf("%d operations, %d starts", len(m.operations), len(c))
 		}
 	})
--- a/internal/serve/leader/peers.go
+++ b/internal/serve/leader/peers.go
@@ -57,6 +57,8 @@
 	// a term of this process: the stamp that it echoed.
 	confirmedAt   time.Time
 	confirmedTerm int64
+	// echoedAt is the last stamp of confirmedTerm that it echoed, so that it has received the reply with that.
+	echoedAt time.Time
 }
 
 // HandleHeartbeat records the heartbeat of a peer and answers whether this process is the leader; a later term in the
@@ -72,10 +74,14 @@
 		at.After(h.confirmedAt) && !at.After(now) {
 		h.confirmedAt, h.confirmedTerm = at, q.EchoTerm
 	}
+	if at := s.epoch.Add(q.Echo); l != nil && q.EchoTerm == l.Term() && at.After(h.echoedAt) && !at.After(now) {
+		h.echoedAt = at
+	}
 	if q.From != "" {
 		s.heartbeats[q.From] = h
 	}
 	interval, ended, loading := s.interval(), s.endedTerm >= q.Term, s.session == nil
+	recorded := s.unrecordedSince.IsZero() && !loading
 	successors, witnesses := s.designatedFor(q.From, now)
 	s.mu.Unlock()
 	if l == nil {
@@ -89,7 +95,7 @@
 	}
 	return peer.HeartbeatReply{IsLeader: !l.Lost(), Ended: l.Lost(), Term: l.Term(), SinceConfirmed: l.SinceConfirmed(),
 		StoreRefusedFor: l.StoreRefusedFor(), Stamp: now.Sub(s.epoch), Interval: interval, Loading: loading,
-		Successors: successors, Witnesses: witnesses}
+		Successors: successors, Witnesses: witnesses, Recorded: recorded}
 }
 
 // HeardRecently reports whether the heartbeats of a peer prove that it knew the leader recently.
--- a/internal/serve/leader/session.go
+++ b/internal/serve/leader/session.go
@@ -40,6 +40,8 @@
 	// maxBatchChanges is the largest number of changes of jobs and workers in one transaction; those beyond
 	// engine.MaxBatchRows become entries of log rows.
 	maxBatchChanges = 1500
+	// minBatchRows is the least number of rows for changes of jobs and workers in a transaction beside the record of starts.
+	minBatchRows = 30
 	// authorityMaxAge is how long a transaction confirms the right to send commands; after that all peers must.
 	authorityMaxAge = 2 * time.Second
 )
@@ -215,6 +217,7 @@
 		s.mu.Lock()
 		s.scheduler.ConfirmLeadership(time.Now().Add(-s.leadership.SinceConfirmed()))
 		s.scheduler.Tick()
+		s.observePlannedStarts()
 		s.observeLoad()
 		s.withdrawAbandoned()
 		s.mu.Unlock()
@@ -256,7 +259,7 @@
 	defer confirm.Stop()
 	for {
 		s.mu.Lock()
-		dirty := s.scheduler.Dirty() || len(s.changedWaves) > 0 || len(s.operations.pending) > 0
+		dirty := s.scheduler.Dirty() || s.scheduler.HasPlannedStarts() || len(s.changedWaves) > 0 || len(s.operations.pending) > 0
 		s.mu.Unlock()
 		if dirty {
 			return
@@ -274,21 +277,25 @@
 }
 
 func (s *session) commit(ctx context.Context) error {
-	limit := engine.MaxBatchRows
-	if s.service.peersReadRowLog() {
+	readRowLog := s.service.peersReadRowLog()
+	s.mu.Lock()
+	starts, startsErr := s.scheduler.StartWrites()
+	rows := max(engine.MaxBatchRows-len(starts), minBatchRows)
+	limit := rows
+	if readRowLog {
 		limit = maxBatchChanges
 	}
-	s.mu.Lock()
 	batch, err := s.scheduler.BatchOf(limit)
 	others := append(s.takeWaveWrites(), s.operations.takeWrites()...)
 	others = append(others, s.cycles.takeWrites(len(others))...)
+	others = append(others, starts...)
 	s.mu.Unlock()
-	if err != nil {
+	if err = errors.Join(err, startsErr); err != nil {
 		return err
 	}
 	if len(batch.Writes)+len(others) > 0 || s.leadership.SinceConfirmed() >= elect.ConfirmInterval(s.service.Succession) {
 		began := time.Now()
-		writes, err := s.rows.Fold(batch.Writes, engine.MaxBatchRows)
+		writes, err := s.rows.Fold(batch.Writes, rows)
 		if err != nil {
 			return err
 		}
@@ -306,6 +313,7 @@
 	s.mu.Lock()
 	s.scheduler.ConfirmFences(s.leadership.FencingToken(), int64(s.leadership.Version()))
 	s.scheduler.HandleCommit(batch)
+	s.scheduler.ConfirmStarts()
 	batch.Jobs(func(id work.JobID) {
 		if s.awaited.stored(id) {
 			s.log.Info("leader: job stored, no request waits for it any more", zap.String("job", string(id)))
@@ -315,6 +323,7 @@
 	close(s.committed)
 	s.committed = make(chan struct{})
 	s.mu.Unlock()
+	s.sendStarts(ctx)
 	wake(s.planWake)
 	wake(s.renewalWake)
 	return nil
--- a/internal/serve/router/heartbeat.go
+++ b/internal/serve/router/heartbeat.go
@@ -147,10 +147,25 @@
 		r.lastReply, r.repliedAt = reply, time.Now()
 		if reply.IsLeader {
 			r.designated = reply
+			if l := r.recorded; reply.Term > l.Term || reply.Term == l.Term && reply.Stamp >= l.Stamp {
+				r.recorded, r.recordedAt = reply, time.Now()
+			}
 		}
 	}
 }
 
+// recordedMaxAge is how long a leader's statement on its starts counts. It is less than the time for which the leader goes on
+// asking a silent peer to confirm that it knows a later one.
+const recordedMaxAge = 30 * time.Second
+
+// StartsRecorded reports whether the leader of a term has told this instance that the store holds all starts that a worker may
+// still execute, and has not told it otherwise since.
+func (r *Router) StartsRecorded(term int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recorded.Term == term && r.recorded.Recorded && time.Since(r.recordedAt) <= recordedMaxAge
+}
+
 // ProcessExited reports whether the process of the leader of a term was recently found to have exited: its address
 // refused a connection, or the process that answers there does not lead.
 func (r *Router) ProcessExited(term int64) bool {
--- a/internal/serve/router/heartbeat_test.go
+++ b/internal/serve/router/heartbeat_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -116,3 +117,35 @@
 		}
 	}
 }
+
+// Guards against a peer that takes over as if all starts were recorded although the leader's last word says otherwise, is of
+// another term or is old.
+func TestStartsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tracker fakeTracker
+		r := New("e1", nil, &fakeLeader{}, nil, zap.NewNop())
+		r.SetLeaderTracker(&tracker)
+		hear := func(term int64, stamp time.Duration, recorded bool) {
+			r.handleHeartbeat(elect.LeaderRecord{Term: term}, peer.HeartbeatReply{IsLeader: true, Term: term, Stamp: stamp,
+				Recorded: recorded}, nil)
+		}
+		check := func(when string, term int64, want bool) {
+			t.Helper()
+			if r.StartsRecorded(term) != want {
+				t.Errorf("%s: recorded %t", when, !want)
+			}
+		}
+		check("nothing heard", 0, false)
+		hear(3, time.Second, true)
+		check("recorded", 3, true)
+		check("a later term", 4, false)
+		hear(3, 3*time.Second, false)
+		check("not recorded", 3, false)
+		hear(3, 2*time.Second, true)
+		check("a reply that was overtaken", 3, false)
+		hear(3, 4*time.Second, true)
+		check("recorded again", 3, true)
+		time.Sleep(recordedMaxAge + time.Second)
+		check("long ago", 3, false)
+	})
+}
--- a/internal/serve/router/router.go
+++ b/internal/serve/router/router.go
@@ -100,6 +100,9 @@
 	// lastReply is the last reply to a heartbeat, repliedAt when it came; failed heartbeats leave both unchanged.
 	lastReply peer.HeartbeatReply
 	repliedAt time.Time
+	// recorded is the reply of a leader with the latest stamp of its term, recordedAt when it came.
+	recorded   peer.HeartbeatReply
+	recordedAt time.Time
 	// exitedAt is when the process of the leader of exitedTerm was last found to have exited.
 	exitedAt   time.Time
 	exitedTerm int64
--- a/internal/wire/peer/jobs.go
+++ b/internal/wire/peer/jobs.go
@@ -139,6 +139,9 @@
 	// which only successors get, are peers that tell whether they reach the leader.
 	Successors []Peer `json:"successors,omitempty"`
 	Witnesses  []Peer `json:"witnesses,omitempty"`
+	// Recorded means that the store holds every start of a task that a worker may still execute; a leader of an earlier build
+	// does not say so.
+	Recorded bool `json:"recorded,omitempty"`
 }
 
 // Validate returns an error for an invalid message.
