engine: A worker is known only once all its ends have been read

Cause: the first list of a worker under the new leader's token ended the wait of the tasks that may have run there, also when it was cut off at 500 ends. The tasks whose ends it lacked started again.

Why it works: such a worker stays inherited until a list of its ends is complete: tasks wait for it, it gets no new ones, its leases are extended and its ends acknowledged, which brings the rest. Usage doesn't call a worker known that has ends to read, so that its machine stays where it is. An inherited worker that has replied is not ended by an older list of machines.

--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -161,7 +161,7 @@
 
 // WorkerUsage is what runs on a worker.
 type WorkerUsage struct {
-	// Known means that the worker has reported its run lists under this term's fencing token.
+	// Known means that the worker has reported its run lists under this term's fencing token, and no ends are left to read.
 	Known bool
 	// Ended means that nothing runs on the worker any more, or that the scheduler does not have it.
 	Ended bool
@@ -184,7 +184,7 @@
 		return WorkerUsage{Ended: true}
 	}
 	now := time.Now()
-	o := WorkerUsage{Known: w.confirmed, Runs: len(w.runs) + len(w.unackedEnds), Leaving: w.Leaving}
+	o := WorkerUsage{Known: w.confirmed && !w.endsUnread, Runs: len(w.runs) + len(w.unackedEnds), Leaving: w.Leaving}
 	for _, r := range w.runs {
 		switch {
 		case r.stepState == nil:
--- a/internal/sched/engine/ended.go
+++ b/internal/sched/engine/ended.go
@@ -82,15 +82,16 @@
 		if current.Worker != "" {
 			end = endOtherWorker
 		}
-		if sc.inherited[id] != nil && !end.replaced && sent.Before(sc.unrecordedUntil) {
+		unseen := sc.inherited[id] != nil && !w.confirmed
+		if unseen && !end.replaced && sent.Before(sc.unrecordedUntil) {
 			// A start of the former leader may reach the next incarnation, and which ones it has sent is not known.
 			w.onlyFinite = true
 			continue
 		}
-		if sc.inherited[id] != nil || !w.unresponsiveSince.IsZero() && w.unresponsiveSince.Before(sent) {
+		if unseen || !w.unresponsiveSince.IsZero() && w.unresponsiveSince.Before(sent) {
 			sc.log.Info("engine: machine runs another worker or none; marking worker ended", zap.String("machine", w.Machine),
 				zap.String("worker", string(id)), zap.String("now", string(current.Worker)), zap.Bool("up", current.Up),
-				zap.Duration("list", now.Sub(sent)), zap.Bool("prior", sc.inherited[id] != nil), zap.Bool("listed", w.listed),
+				zap.Duration("list", now.Sub(sent)), zap.Bool("prior", unseen), zap.Bool("listed", w.listed),
 				zap.Duration("silent", elapsed(w.unresponsiveSince, now)), zap.Duration("lease", sc.leasesEnd(w).Sub(now)),
 				zap.Int("runs", len(w.runs)))
 			sc.markCrashed(w, end)
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -117,6 +117,7 @@
 	}
 	o.Prompt = w.startsUp() || w.isIsolated()
 	switch {
+	case w.endsUnread:
 	case w.hasFiniteRuns():
 		o.Wait = FiniteRenewalWait
 	case o.Prompt || w.hasNewRuns():
@@ -231,10 +232,12 @@
 	w.confirmed = true
 	sc.handleEnds(w, reply.Ended)
 	sc.reconcileRuns(w, o, reply, sent)
-	w.givenUp = nil
+	if w.endsUnread = reply.Truncated; !w.endsUnread {
+		w.givenUp = nil
+	}
 	if first {
 		sc.log.Info("engine: run lists of worker confirmed", zap.String("worker", string(w.ID)), zap.Int("runs", len(w.runs)),
-			zap.Int("ends", len(reply.Ended)), zap.Int64("born", w.Incarnation))
+			zap.Int("ends", len(reply.Ended)), zap.Bool("complete", !w.endsUnread), zap.Int64("born", w.Incarnation))
 		if sc.inherited[w.ID] != nil {
 			w.formerLeasesEnd = sc.inheritedUntil
 		}
@@ -245,12 +248,16 @@
 				w.formerLeasesEnd = end
 			}
 		}
-		delete(sc.inherited, w.ID)
 		if !w.inUse {
 			w.inUse = true
 			sc.dirtyWorkers[w.ID] = true
 		}
 	}
+	if sc.inherited[w.ID] != nil && !w.endsUnread {
+		// Only now it is known which tasks of a former leader run or have ended there.
+		delete(sc.inherited, w.ID)
+		sc.log.Info("engine: ends of inherited worker read", zap.String("worker", string(w.ID)), zap.Int64("last", w.handledEnd))
+	}
 }
 
 // reconcileRuns updates the scheduler's runs on a worker from the worker's list of active runs. A run that is not listed
--- a/internal/sched/engine/restart.go
+++ b/internal/sched/engine/restart.go
@@ -17,7 +17,7 @@
 	sc.recordCrash(w)
 	sc.raiseFence(w)
 	w.Incarnation, w.restarted = incarnation, true
-	w.confirmed, w.ended = false, false
+	w.confirmed, w.endsUnread, w.ended = false, false, false
 	w.handledEnd, w.ackedEnd, w.ackDelivered = 0, 0, 0
 	w.unackedEnds = nil
 	w.clock, w.lastLeaseEnd, w.releasedLease = 0, 0, 0
--- a/internal/sched/engine/usage_test.go
+++ b/internal/sched/engine/usage_test.go
@@ -52,3 +52,15 @@
 		t.Errorf("with all ends stored: %+v", r)
 	}
 }
+
+// Guards against moving a machine whose worker has ends that nobody has read, because it lists a part of them at a time.
+func TestUsageOfWorkerWithUnreadEnds(t *testing.T) {
+	sc := New(DefaultOptions(), 2, nil)
+	sc.SetWorkers([]work.Worker{{ID: "w1", Pool: "p", Address: "w1:1", Capacity: work.Need{CPU: 1000}, Incarnation: 1}})
+	for _, truncated := range []bool{true, false} {
+		sc.HandleRenewal(Renewal{Worker: "w1"}, work.RenewalReply{Incarnation: 1, Truncated: truncated}, time.Now())
+		if r := sc.Usage("w1"); r.Known == truncated {
+			t.Errorf("list cut off %t: %+v", truncated, r)
+		}
+	}
+}
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -22,6 +22,8 @@
 	// onlyFinite means that of the runs that a former leader may have started on an inherited worker only those of finite tasks
 	// may still exist.
 	onlyFinite bool
+	// endsUnread means that its last list of ends was cut off, so that runs may have ended there that are not known.
+	endsUnread bool
 	// inUse means that tasks may run on the worker, inUseStored that the store has a record of that.
 	inUse, inUseStored bool
 	// describedIncarnation is the incarnation that reported the worker's labels and capacity; 0 if unknown.
@@ -198,7 +200,7 @@
 		// Still listed, so the worker was marked ended by mistake.
 		sc.log.Warn("engine: worker is still listed after it was marked ended; using it again",
 			zap.String("worker", string(w.ID)), zap.Duration("after", time.Since(w.endedAt)))
-		w.ended, w.confirmed = false, false
+		w.ended, w.confirmed, w.endsUnread = false, false, false
 		w.cordoned, w.closed = false, false
 		sc.touch(w)
 	}
@@ -304,7 +306,7 @@
 // usable reports whether a worker may get tasks now; callers check separately whether it is cordoned. The store must
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
-	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && w.isDescribed() && !w.Leaving &&
+	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && sc.inherited[w.ID] == nil && w.isDescribed() && !w.Leaving &&
 		!w.holdsReleasedLease() && w.responsive() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
@@ -338,7 +340,7 @@
 // leasesEnd returns when every lease of a worker has certainly expired, those of former leaders included.
 func (sc *Scheduler) leasesEnd(w *worker) time.Time {
 	end := w.leaseExpiry()
-	if sc.inherited[w.ID] != nil {
+	if sc.inherited[w.ID] != nil && (w.clockReadAt.IsZero() || sc.inheritedUntil.After(end)) {
 		end = sc.inheritedUntil
 	}
 	if w.formerLeasesEnd.After(end) {
@@ -380,7 +382,7 @@
 		// The failed renewal says nothing of the leases under which a lingering run may have started.
 		w.silent = false
 	}
-	w.confirmed = false
+	w.confirmed, w.endsUnread = false, false
 	delete(sc.inherited, w.ID)
 	sc.touch(w)
 }
