engine, leader: A confirmed operation ends a worker only if a later list shows it

Cause: the platform confirms an operation on a machine also if it took place before. The leader took each confirmation as the end of the worker for which it had asked. Closing a worker that the scheduler did not know had no effect, so that it could get tasks during the call.

Why it works: a list of machines that was requested after the confirmation decides whether the worker has ended. Until then it is closed, by its id, and while a call may take effect so is every worker of the machine, known or not, also after a restart. An operation whose worker is not the machine's any more is given up, and one for a machine with another worker's runs waits.

--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -197,6 +197,17 @@
 	return o
 }
 
+// RunsBeside returns the number of runs that may exist on a machine on other workers than one, by the platform's list of workers.
+func (sc *Scheduler) RunsBeside(id work.WorkerID, machine string) int {
+	n := 0
+	for _, w := range sc.workers {
+		if w.Machine == machine && w.ID != id && !w.ended {
+			n += len(w.runs) + len(w.unackedEnds)
+		}
+	}
+	return n
+}
+
 // Incarnation returns when the current incarnation of a worker began, in milliseconds since 1970; 0 if not known.
 func (sc *Scheduler) Incarnation(id work.WorkerID) int64 {
 	if w, ok := sc.workers[id]; ok {
--- a/internal/sched/engine/ended.go
+++ b/internal/sched/engine/ended.go
@@ -42,8 +42,10 @@
 	delete(sc.inherited, w.ID)
 }
 
-// MarkWorkerEnded records that the platform has taken a worker's machine away, which ends all runs on it.
+// MarkWorkerEnded records that the platform has taken a worker's machine away, which ends all runs on it: its machine ran another
+// worker or none in a list that was requested after that.
 func (sc *Scheduler) MarkWorkerEnded(id work.WorkerID) {
+	sc.Close(id, false)
 	if w, ok := sc.workers[id]; ok {
 		sc.markEnded(w, endTakenAway)
 		sc.forgetGivenUp(w)
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -113,6 +113,9 @@
 	awaitingFence []*worker
 	// confirmedAt is the latest time until which no later leader is known to have existed.
 	confirmedAt time.Time
+	// closedWorkers and closedMachines get no new tasks.
+	closedWorkers  map[work.WorkerID]bool
+	closedMachines map[string]bool
 	// dirtyWorkers are the workers whose record in the store is to be written or deleted.
 	dirtyWorkers map[work.WorkerID]bool
 	// machineCapacities are the capacities of the machines by name; nil until they are known.
@@ -190,6 +193,7 @@
 		customers: map[string]*customer{}, runTimes: newRunTimes(o), overruns: map[string]*overrunModel{}, dirty: map[work.JobID]*job{},
 		arrived: map[string]float64{}, inherited: map[work.WorkerID]*worker{}, dirtyWorkers: map[work.WorkerID]bool{},
 		stopping: map[work.RunKey]*run{}, pending: newPendingStarts(), starts: startRecord{open: map[work.RunKey]*run{}},
+		closedWorkers: map[work.WorkerID]bool{}, closedMachines: map[string]bool{},
 	}
 }
 
--- a/internal/sched/engine/overload.go
+++ b/internal/sched/engine/overload.go
@@ -235,7 +235,7 @@
 		l.Arriving = append(l.Arriving, fair.Arrival{After: fair.Seconds(a.At.Sub(now)), Capacity: a.Capacity})
 	}
 	for _, w := range sc.index.byPool[p.name] {
-		if w.listed && !w.ended && !w.closed && !w.cordoned && !w.Leaving && w.responsive() && !sc.evacuated[w.Zone] {
+		if w.listed && !w.ended && !sc.isClosed(w) && !w.cordoned && !w.Leaving && w.responsive() && !sc.evacuated[w.Zone] {
 			l.Capacity = l.Capacity.Plus(w.Capacity).Minus(w.longRunning)
 			l.Free = l.Free.Plus(w.free().Max(work.Need{}))
 		}
--- a/internal/sched/engine/restart.go
+++ b/internal/sched/engine/restart.go
@@ -23,7 +23,7 @@
 	w.clock, w.lastLeaseEnd, w.releasedLease = 0, 0, 0
 	w.clockReadAt, w.formerLeasesEnd = time.Time{}, time.Time{}
 	w.largestCapacity = work.Need{}
-	w.cordoned, w.closed = false, false
+	w.cordoned = false
 	sc.index.updateDraining(w)
 	sc.index.updateUnacked(w)
 	sc.touch(w)
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -74,8 +74,6 @@
 	cordoned bool
 	// due means that the worker's machine is to be maintained soon.
 	due bool
-	// closed means that the worker may be taken away at any moment and gets no new tasks at all.
-	closed bool
 	// failureRate is the moving average of failed runs among recent ones, for the choice between workers.
 	failureRate float64
 	// slowness is the logarithm of how many times slower than usual the worker was at the last choice; 0 if not known.
@@ -201,7 +199,7 @@
 		sc.log.Warn("engine: worker is still listed after it was marked ended; using it again",
 			zap.String("worker", string(w.ID)), zap.Duration("after", time.Since(w.endedAt)))
 		w.ended, w.confirmed, w.endsUnread = false, false, false
-		w.cordoned, w.closed = false, false
+		w.cordoned = false
 		sc.touch(w)
 	}
 	sc.index.updateDraining(w)
@@ -268,14 +266,25 @@
 	}
 }
 
-// Close keeps every new task away from a worker that may be taken away at any moment, or lifts that. MarkWorkerEnded
-// must find no run there: the platform confirms an operation also if it took place before this worker started.
+// Close keeps every new task away from a worker that may be taken away at any moment, whether the scheduler has it or not, or
+// lifts that.
 func (sc *Scheduler) Close(id work.WorkerID, closed bool) {
-	if w, ok := sc.workers[id]; ok {
-		w.closed = closed
+	if delete(sc.closedWorkers, id); closed {
+		sc.closedWorkers[id] = true
+	}
+}
+
+// CloseMachine does the same for every worker of a machine, also for those that start later.
+func (sc *Scheduler) CloseMachine(name string, closed bool) {
+	if delete(sc.closedMachines, name); closed {
+		sc.closedMachines[name] = true
 	}
 }
 
+func (sc *Scheduler) isClosed(w *worker) bool {
+	return sc.closedWorkers[w.ID] || w.Machine != "" && sc.closedMachines[w.Machine]
+}
+
 // markUnresponsive records that a worker did not reply.
 func (sc *Scheduler) markUnresponsive(w *worker) {
 	w.failures++
@@ -306,7 +315,7 @@
 // usable reports whether a worker may get tasks now; callers check separately whether it is cordoned. The store must
 // already have a record that tasks may run there, because a later leader must find them.
 func (sc *Scheduler) usable(w *worker, now time.Time) bool {
-	return w.inUseStored && w.listed && !w.ended && !w.closed && w.confirmed && sc.inherited[w.ID] == nil && w.isDescribed() && !w.Leaving &&
+	return w.inUseStored && w.listed && !w.ended && !sc.isClosed(w) && w.confirmed && sc.inherited[w.ID] == nil && w.isDescribed() && !w.Leaving &&
 		!w.holdsReleasedLease() && w.responsive() && sc.mayHaveCapacity(w, now) && !sc.evacuated[w.Zone] && now.After(w.backoffUntil)
 }
 
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -103,6 +103,8 @@
 	slow bool
 	// uncertain means that the result of a call was Unknown, so that the platform may still carry it out.
 	uncertain bool
+	// settled means that a list requested after the successful call has shown that the worker has ended.
+	settled bool
 	// declinedAt is when the machine was Busy after such a result, maybe because of the operation itself; zero before that.
 	declinedAt time.Time
 }
@@ -225,6 +227,9 @@
 func (m *mover) finishOperations() {
 	for name, op := range m.operations {
 		x, ok := m.machines[name]
+		if ok && !op.startedAt.IsZero() && !op.settled && m.listedAt.After(op.startedAt) && !m.settle(op, x) {
+			continue
+		}
 		back := ok && x.Up && !op.startedAt.IsZero() && !m.listedAt.Before(op.startedAt.Add(m.expectedDowntime(op)))
 		missing := !ok && !op.calling && m.listedAt.After(op.startedAt)
 		declined := ok && !op.declinedAt.IsZero() && !m.listedAt.Before(op.declinedAt) && (x.Up || op.wave != 0 && !x.InMaintenance)
@@ -234,6 +239,23 @@
 	}
 }
 
+// settle handles the first list that was requested after an operation was confirmed, and reports whether it has taken the worker
+// away: the platform confirms an operation also if it took place before this worker started.
+func (m *mover) settle(op *operation, x Machine) bool {
+	id := work.WorkerID(op.worker)
+	if op.worker != "" && x.Up && x.Worker == op.worker {
+		m.session.log.Info("leader: operation had taken place before this worker started, using it again",
+			zap.String("machine", op.machine), zap.String("worker", op.worker), zap.Int64("wave", op.wave))
+		m.releaseOperation(op)
+		return false
+	}
+	op.settled = true
+	if op.worker != "" {
+		m.session.scheduler.MarkWorkerEnded(id)
+	}
+	return true
+}
+
 func (m *mover) expectedDowntime(op *operation) time.Duration {
 	if op.wave != 0 {
 		return m.session.service.Moves.Maintenance
@@ -251,8 +273,17 @@
 		if op.calling || !op.startedAt.IsZero() || !op.declinedAt.IsZero() || now.Before(op.retryAt) {
 			continue
 		}
+		id := work.WorkerID(op.worker)
+		if x, ok := m.machines[op.machine]; ok && x.Up && x.Worker != op.worker && !m.listedAt.Before(op.sentAt) {
+			m.session.log.Info("leader: machine has another worker since its operation was decided", zap.String("machine", op.machine),
+				zap.String("worker", op.worker), zap.String("now", x.Worker), zap.Bool("uncertain", op.uncertain))
+			m.releaseOperation(op)
+			continue
+		}
+		if m.session.scheduler.RunsBeside(id, op.machine) > 0 {
+			continue
+		}
 		if op.worker != "" {
-			id := work.WorkerID(op.worker)
 			m.session.scheduler.Cordon(id, true)
 			if r := m.session.scheduler.Usage(id); r.Runs > 0 || !r.Known && !r.Ended {
 				if op.pool != "" && op.sentAt.IsZero() && now.Sub(op.plannedAt) > maxDrainTime {
@@ -268,12 +299,20 @@
 			continue
 		}
 		op.calling, op.sentAt = true, now
-		m.session.scheduler.Close(work.WorkerID(op.worker), true)
+		m.close(op, true)
 		due = append(due, op)
 	}
 	return due
 }
 
+// close keeps new tasks away from the machine of an operation, whichever worker runs there, or lifts that.
+func (m *mover) close(op *operation, closed bool) {
+	m.session.scheduler.CloseMachine(op.machine, closed)
+	if op.worker != "" {
+		m.session.scheduler.Close(work.WorkerID(op.worker), closed)
+	}
+}
+
 // call calls the platform for an operation and handles the result.
 func (m *mover) call(ctx context.Context, op *operation) {
 	s := m.session
@@ -309,10 +348,9 @@
 	op.calling = false
 	switch result {
 	case Started:
+		// The next worker of the machine may get tasks, this one may not until a list shows whether it has ended.
 		op.startedAt = time.Now()
-		if op.worker != "" {
-			s.scheduler.MarkWorkerEnded(work.WorkerID(op.worker))
-		}
+		s.scheduler.CloseMachine(op.machine, false)
 		if w := m.waves[op.wave]; w != nil && op.wave != 0 {
 			w.MarkStarted(op.machine)
 			s.storeProgress(op.wave)
@@ -330,7 +368,7 @@
 		// call out.
 		op.retryAt = time.Now().Add(busyBackoff)
 		op.uncertain = op.uncertain || result == Unknown
-		s.scheduler.Close(work.WorkerID(op.worker), op.uncertain)
+		m.close(op, op.uncertain)
 	case Fenced:
 		s.handleFenced("the machine service")
 		m.releaseOperation(op)
@@ -348,9 +386,9 @@
 // releaseOperation removes an operation and opens its worker to tasks again.
 func (m *mover) releaseOperation(op *operation) {
 	delete(m.operations, op.machine)
+	m.close(op, false)
 	if op.worker != "" {
 		m.session.scheduler.Cordon(work.WorkerID(op.worker), false)
-		m.session.scheduler.Close(work.WorkerID(op.worker), false)
 	}
 }
 
