engine: Planned starts count towards the bound on outstanding ones

While the store is slow, planned starts wait for their record for longer than the 100 ms after which a start without a reply no longer counts, so that a backlog would have been planned whole and sent at once, out of its rank. A planned start now counts until it is sent or dropped.

--- a/internal/sched/engine/pending.go
+++ b/internal/sched/engine/pending.go
@@ -40,7 +40,7 @@
 // pendingStarts bounds the starts whose replies are outstanding. The bound adapts to the processor time that this process
 // gets: it grows while most replies arrive in time, and shrinks while they are late.
 type pendingStarts struct {
-	// issued are the starts that count, with the times at which they were issued.
+	// issued are the starts that count, with the times at which they were sent; zero for planned ones.
 	issued map[work.RunKey]time.Time
 	limit  float64
 	// held means that the last planning pass ended at the limit.
@@ -58,7 +58,7 @@
 // prune removes the starts that no longer count.
 func (p *pendingStarts) prune(now time.Time) {
 	for key, at := range p.issued {
-		if now.Sub(at) >= p.timeout {
+		if !at.IsZero() && now.Sub(at) >= p.timeout {
 			delete(p.issued, key)
 		}
 	}
--- a/internal/sched/engine/pending_test.go
+++ b/internal/sched/engine/pending_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/yuccahaven/yuccahaven/internal/model/work"
@@ -47,3 +48,24 @@
 		t.Errorf("%d starts after many late replies", n)
 	}
 }
+
+// Load pattern: a backlog while the store is slow to record starts. Guards against starting all of it at once when the store has
+// recorded it, instead of by its rank.
+func TestPlannedStartsCountTowardsTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}},
+			[]work.Worker{{ID: "w1", Pool: "p", Capacity: work.Need{CPU: 1000}}})
+		if _, err := sc.Submit(work.Job{ID: "00000000000000aa", Queue: "q", Accepted: time.Now().UnixMilli(),
+			Steps: []work.Step{{Count: 500, Need: work.Need{CPU: 1}}}}); err != nil {
+			t.Fatal(err)
+		}
+		store(t, sc)
+		for range 5 {
+			sc.Commands()
+			time.Sleep(2 * pendingStartTimeout)
+		}
+		if n := len(recordStarts(sc, map[string][]byte{})); n != minPendingStarts {
+			t.Errorf("%d starts at once, want %d", n, minPendingStarts)
+		}
+	})
+}
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -431,7 +431,7 @@
 		lateStart: w.cordoned,
 	}
 	t.runs = append(t.runs, r)
-	sc.pending.issued[r.key] = now
+	sc.pending.issued[r.key] = time.Time{}
 	if len(w.runs) == 0 {
 		sc.touch(w)
 	}
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -327,6 +327,9 @@
 	}
 	delete(w.runs, r.key)
 	delete(sc.stopping, r.key)
+	if r.phase == startPlanned {
+		delete(sc.pending.issued, r.key)
+	}
 	if s == nil {
 		w.unknownRuns--
 		return
