engine: At most 4,000 starts are open at a time

The record of starts shares a transaction of at most 1 MB with the changes of jobs. With many relays, each of which bears up to 512 starts, it could have become larger than that; the store would have refused it from every leader. TestOpenStartsAreBounded: before, 6,000 of 6,000 tasks were planned.

--- a/internal/sched/engine/pending_test.go
+++ b/internal/sched/engine/pending_test.go
@@ -49,6 +49,36 @@
 	}
 }
 
+// Load pattern: many relays, each of which bears hundreds of starts, and workers that don't reply. Guards against a record of starts
+// that is too large for a transaction, which the store would refuse from every leader.
+func TestOpenStartsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := newTestScheduler(t, work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}},
+			[]work.Worker{{ID: "w1", Pool: "p", Capacity: work.Need{CPU: 10000}}})
+		sc.SetRelays(1000)
+		if _, err := sc.Submit(work.Job{ID: "00000000000000aa", Queue: "q", Accepted: time.Now().UnixMilli(),
+			Steps: []work.Step{{Count: 6000, Need: work.Need{CPU: 1}}}}); err != nil {
+			t.Fatal(err)
+		}
+		store(t, sc)
+		size, starts := 0, 0
+		for range 3 {
+			rows := map[string][]byte{}
+			sc.Commands()
+			for _, c := range recordStarts(sc, rows) {
+				starts++
+				sc.HandleOutcome(c, RelayLost, time.Now())
+			}
+			for _, v := range rows {
+				size += len(v)
+			}
+		}
+		if starts != maxOpenStarts || size > 400<<10 {
+			t.Errorf("%d starts, %d bytes", starts, size)
+		}
+	})
+}
+
 // Load pattern: a backlog while the store is slow to record starts. Guards against starting all of it at once when the store has
 // recorded it, instead of by its rank.
 func TestPlannedStartsCountTowardsTheBound(t *testing.T) {
--- a/internal/sched/engine/placement.go
+++ b/internal/sched/engine/placement.go
@@ -23,7 +23,7 @@
 	for _, p := range sc.pools {
 		if len(p.ready) == 0 {
 			p.releaseReserved()
-		} else if sc.pending.allow() {
+		} else if sc.mayPlan() {
 			sc.placeWaiting(p, now)
 		}
 	}
@@ -61,7 +61,7 @@
 	hasRoom := sc.options.Contention
 	for _, e := range ranked {
 		s, eligible := e.state, workers.workers
-		if !sc.pending.allow() {
+		if !sc.mayPlan() {
 			break
 		}
 		if !sc.mayPlace(s, workers, cordoned) {
@@ -345,7 +345,7 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
-		if !sc.withinCap(s, 1) || !sc.pending.allow() {
+		if !sc.withinCap(s, 1) || !sc.mayPlan() {
 			break
 		}
 		var w *worker
--- a/internal/sched/engine/starts.go
+++ b/internal/sched/engine/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,27 @@
 	open map[work.RunKey]*run
 }
 
+// maxOpenStarts bounds the record to about 300 KB, which a transaction has room for beside the largest batch. A gang may exceed it.
+const maxOpenStarts = 4000
+
+// mayPlan reports whether the outstanding replies and the record of starts allow another start.
+func (sc *Scheduler) mayPlan() bool {
+	if !sc.pending.allow() {
+		return false
+	}
+	if len(sc.starts.open) >= maxOpenStarts {
+		sc.forgetSettledStarts(time.Now())
+	}
+	return len(sc.starts.open) < maxOpenStarts
+}
+
+// forgetSettledStarts drops the starts that can't be executed any more from those to record.
+func (sc *Scheduler) forgetSettledStarts(now time.Time) {
+	maps.DeleteFunc(sc.starts.open, func(_ work.RunKey, r *run) bool {
+		return !r.mayBeExecuted(now, sc.options.maxLeaseTime())
+	})
+}
+
 // planStart has the start of a run recorded, after which it is sent. Several runs of a speculative task do no harm, so that its
 // starts need no record.
 func (sc *Scheduler) planStart(r *run) {
@@ -76,13 +98,9 @@
 // StartWrites returns the writes for the next transaction that record the planned starts and drop those that can't be executed
 // any more. ConfirmStarts must be called once it has been applied, before the next call.
 func (sc *Scheduler) StartWrites() ([]table.Write, error) {
-	now := time.Now()
+	sc.forgetSettledStarts(time.Now())
 	list := make([]intent.Start, 0, len(sc.starts.open))
 	for key, r := range sc.starts.open {
-		if !r.mayBeExecuted(now, sc.options.maxLeaseTime()) {
-			delete(sc.starts.open, key)
-			continue
-		}
 		list = append(list, intent.Start{Task: key.Task, Number: key.Number, Worker: r.worker.ID})
 	}
 	writes, err := sc.starts.log.Writes(list)
