--- a/internal/sched/engine/command.go
+++ b/internal/sched/engine/command.go
@@ -300,9 +300,10 @@
 func (sc *Scheduler) stopCommands(now time.Time) []Command {
 	var commands []Command
 	for _, r := range sc.stopping {
-		// A planned start with a stop is not sent. A run whose start reply is outstanding is stopped after the reply, so that the stop can't overtake the start
-		// unnoticed.
-		if r.phase == startPlanned || r.phase == startSent || r.lingers || !r.stopAppliedAt.IsZero() || now.Sub(r.stopSentAt) < stopRetryInterval {
+		// A planned start with a stop is not sent. A run whose start reply is outstanding is stopped after the reply, so that
+		// the stop can't overtake the start unnoticed.
+		if r.phase == startPlanned || r.phase == startSent || r.lingers || !r.stopAppliedAt.IsZero() ||
+			now.Sub(r.stopSentAt) < stopRetryInterval {
 			continue
 		}
 		r.stopSentAt = now
--- a/internal/sched/engine/demand.go
+++ b/internal/sched/engine/demand.go
@@ -197,7 +197,7 @@
 	return o
 }
 
-// RunsBeside returns the number of runs that may exist on a machine on other workers than one, by the platform's list of workers.
+// RunsBeside returns the number of runs, and of ends that are not stored, on a machine's other workers than one.
 func (sc *Scheduler) RunsBeside(id work.WorkerID, machine string) int {
 	n := 0
 	for _, w := range sc.workers {
--- a/internal/sched/engine/ended.go
+++ b/internal/sched/engine/ended.go
@@ -85,7 +85,7 @@
 			end = endOtherWorker
 		}
 		unseen := sc.inherited[id] != nil && !w.confirmed
-		if unseen && !end.replaced && sent.Before(sc.unrecordedUntil) {
+		if unseen && !end.replaced && sent.Before(sc.formerCallsEnd) {
 			// A start of the former leader may reach the next incarnation, and which ones it has sent is not known.
 			w.onlyFinite = true
 			continue
--- a/internal/sched/engine/engine.go
+++ b/internal/sched/engine/engine.go
@@ -46,6 +46,9 @@
 // clockDrift is the fraction by which a worker's clock may run slower than the local one, as the platform guarantees.
 const clockDrift = 0.02
 
+// formerCallTime is how long a call takes at most that a former leader or one of its relays still sends.
+const formerCallTime = 1500 * time.Millisecond
+
 // leaseMargin covers the rounding of the worker's clock to milliseconds and the time a worker needs to end a run.
 const leaseMargin = 250 * time.Millisecond
 
@@ -104,8 +107,9 @@
 	inherited map[work.WorkerID]*worker
 	// inheritedUntil is when every lease that a former leader sent has certainly expired.
 	inheritedUntil time.Time
-	// unrecordedUntil is until when a start may be executed that a former leader has not recorded; zero if it recorded all.
-	unrecordedUntil time.Time
+	// unrecordedUntil is until when a start may be executed that a former leader has not recorded, formerCallsEnd is when that
+	// leader and its relays have certainly ended their calls; both are zero if it recorded all.
+	unrecordedUntil, formerCallsEnd time.Time
 	// starts is the record of the starts that may still be executed.
 	starts startRecord
 	// fences are the fencing tokens of the term; awaitingFence are the workers that get no calls until there is another one.
--- a/internal/sched/engine/renewal.go
+++ b/internal/sched/engine/renewal.go
@@ -200,7 +200,8 @@
 	if !ok {
 		return
 	}
-	if former := reply.Incarnation != 0 && reply.Incarnation < w.Incarnation; former || w.ended && (w.Incarnation == 0 || reply.Incarnation <= w.Incarnation) {
+	former := reply.Incarnation != 0 && reply.Incarnation < w.Incarnation
+	if restarted := w.Incarnation != 0 && reply.Incarnation > w.Incarnation; former || w.ended && !restarted {
 		// What the reply says of the worker does not apply any more, but ends stay ends.
 		sc.handleLateEnds(w, reply.Ended)
 		return
--- a/internal/sched/engine/starts.go
+++ b/internal/sched/engine/starts.go
@@ -223,10 +223,13 @@
 	}
 }
 
-// AssumeUnrecordedStarts makes finite tasks wait for the starts that a former leader may have sent without a record. It must be
-// called before the first reply of a worker.
+// AssumeUnrecordedStarts makes finite tasks wait until the former leader, which may have sent starts without a record, has
+// certainly ended its calls. It must be called before the first reply of a worker. A start that acts later is not waited for:
+// that would hold all restored tasks of a pool for as long as one of its workers is down.
 func (sc *Scheduler) AssumeUnrecordedStarts() {
-	sc.unrecordedUntil = time.Now().Add(sc.options.Authority).Add(lateCommandTime)
+	now := time.Now()
+	sc.formerCallsEnd = now.Add(sc.options.Authority).Add(formerCallTime)
+	sc.unrecordedUntil = now.Add(sc.options.Authority).Add(lateCommandTime)
 }
 
 // HasUnrecordedStarts reports whether a worker may still execute a start of a former leader that the store does not hold, or the
--- a/internal/sched/engine/worker.go
+++ b/internal/sched/engine/worker.go
@@ -417,9 +417,7 @@
 	sc.logErrors(now)
 	for id, w := range sc.workers {
 		if sc.mayGiveUp(w, now) {
-			if w.onlyFinite = sc.inherited[id] != nil && sc.HasUnrecordedStarts(); !w.onlyFinite {
-				sc.expireLeases(w, now)
-			}
+			sc.expireLeases(w, now)
 		}
 		sc.expireLingering(w, now)
 		if sc.isGone(w, now) {
--- a/internal/serve/leader/unrecorded.go
+++ b/internal/serve/leader/unrecorded.go
@@ -7,8 +7,8 @@
 )
 
 // While the store is slow or away, starts are sent without a record in it once every peer knows that there may be such starts.
-// A peer that takes over then waits for them, see engine.AssumeUnrecordedStarts, and so does a process that has not heard from
-// the leader.
+// A peer that takes over then waits for the end of the leader's calls, see engine.AssumeUnrecordedStarts, and so does a process that
+// has not heard from the leader.
 
 const (
 	// maxRecordWait is how long a planned start waits for its record before the leader prepares to send starts without one.
