--- a/internal/sched/engine/job.go
+++ b/internal/sched/engine/job.go
@@ -218,6 +218,33 @@
 	return work.TaskID{Job: s.job.ID, Round: s.round, Step: s.step, Index: index}
 }
 
+// findStep returns the step of a task, or nil if the job is unknown, the round is not open or there is no such task.
+func (sc *Scheduler) findStep(t work.TaskID) *stepState {
+	j, ok := sc.jobs[t.Job]
+	if !ok {
+		return nil
+	}
+	s, ok := j.stepStates[stepKey{t.Round, t.Step}]
+	if !ok || t.Index < 0 || t.Index >= len(s.tasks) {
+		return nil
+	}
+	return s
+}
+
+// stepOfReport returns the step of a task that a worker reports, or nil as findStep does. A former leader may have opened
+// rounds after it last stored the job's progress; the report of a task in such a round opens it and those before it.
+func (sc *Scheduler) stepOfReport(t work.TaskID) *stepState {
+	j, ok := sc.jobs[t.Job]
+	if ok && j.restored && !j.state.Final() && j.openedRounds <= t.Round && t.Round < j.Rounds() {
+		sc.log.Info("engine: opening rounds that a former leader opened", zap.Stringer("task", t),
+			zap.Int("opened", j.openedRounds))
+		for j.openedRounds <= t.Round {
+			sc.openNextRound(j)
+		}
+	}
+	return sc.findStep(t)
+}
+
 // openRound creates the steps of the next round.
 func (sc *Scheduler) openRound(j *job) {
 	r := j.openedRounds
